--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	$(VENV)/bin/ruff check --fix .
 	$(VENV)/bin/ruff format .
 
-$(VENV)/ready: requirements-dev.txt
+$(VENV)/ready: requirements.txt requirements-dev.txt
 	python3 -m venv $(VENV)
-	$(PY) -m pip -q install -r requirements-dev.txt
+	$(PY) -m pip -q install -r requirements.txt -r requirements-dev.txt
 	touch $@
--- a/ochrewharf/choice.py
+++ b/gradegap/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of ochrewharf; its types, events and actions are in `interface.py`.
+"""Every decision of gradegap; its types, events and actions are in `interface.py`.
 
 A `Balancer` is one proxy. It is fed events with the clock and answers with actions; it does no
 I/O, reads no clock, and knows only what its own events told it.
@@ -20,7 +20,7 @@
 from random import Random
 from typing import Any
 
-from ochrewharf import interface as api
+from gradegap import interface as api
 
 NEVER = -1e9  # a clock time before all others
 BETA_SCALE = 1.0  # factor on the paper's beta, which leaves the constant open
--- a/ochrewharf/wirehost.py
+++ b/gradegap/wirehost.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NoReturn, TextIO
 
-from ochrewharf import interface as i
-from ochrewharf.choice import Balancer
+from gradegap import interface as i
+from gradegap.choice import Balancer
 
 NS = 1e-9
 RESULTS = {str(int(r)): r for r in i.Result}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from ochrewharf import interface as api
-from ochrewharf.choice import Balancer
+from gradegap import interface as api
+from gradegap.choice import Balancer
 
 CLASS = api.ClassSettings("live", aim=0.5, limit=2.0, worth=1.0)
 
--- a/tests/test_beta.py
+++ b/tests/test_beta.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ochrewharf import interface as api
+from gradegap import interface as api
 from tests.helpers import Driver, sends
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ochrewharf import interface as api
+from gradegap import interface as api
 from tests.helpers import CLASS, Driver, finals, sends
 
 
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ochrewharf import interface as api
+from gradegap import interface as api
 from tests.helpers import Driver, finals, sends
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from ochrewharf import interface as api
-from ochrewharf import wirehost
-from ochrewharf.choice import Balancer
+from gradegap import interface as api
+from gradegap import wirehost
+from gradegap.choice import Balancer
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -37,7 +37,7 @@
 
 def run(lines: list[str]) -> subprocess.CompletedProcess[str]:
     text = "".join(line + "\n" for line in lines)
-    command = [sys.executable, "-m", "ochrewharf.wirehost"]
+    command = [sys.executable, "-m", "gradegap.wirehost"]
     return subprocess.run(command, input=text, capture_output=True, text=True, cwd=ROOT, timeout=60)
 
 
@@ -112,7 +112,7 @@
 
 
 def test_policy_file_keeps_its_limits() -> None:
-    lines = (ROOT / "ochrewharf" / "choice.py").read_text().splitlines()
+    lines = (ROOT / "gradegap" / "choice.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 650
     assert max(map(len, lines)) <= 110
     assert "interface.py" in lines[0] + lines[1]
