--- a/gradegap/__init__.py
+++ b/gradegap/__init__.py
@@ -1,5 +1,7 @@
-"""gradegap: the decisions of a balancer for long-lived connections."""
+"""gradegap: a node that places long-lived connections, and its decisions."""
 
 from gradegap.choice import Balancer
 
-__all__ = ["Balancer"]
+VERSION = "0.2.0"
+
+__all__ = ["VERSION", "Balancer"]
--- /dev/null
+++ b/gradegap/app.py
@@ -0,0 +1,156 @@
+"""The node, assembled: what another program would embed, and what `gradegap serve` runs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from gradegap import interface as api
+from gradegap import settings as reader
+from gradegap.core import Core
+from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
+from gradegap.net.client_session import TcpChannel
+from gradegap.net.director import Director, Listing
+from gradegap.stats import Stats
+
+log = structlog.get_logger()
+
+READY_ANYWAY = 2.0  # s after which a node with the list of its configuration serves without discovery
+
+
+class BadConfig(ValueError):
+    """A configuration that the node can't start with; its text is one plain line."""
+
+
+class Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: float = 0.0
+    sockets: int = 0
+
+
+class Config(msgspec.Struct):
+    """`config.json`, as the platform writes it."""
+
+    name: str
+    listen: str
+    discovery: str
+    settings: dict[str, Any]
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: Listing = msgspec.field(default_factory=Listing)
+
+
+@dataclass(slots=True)
+class Setup:
+    config: Config
+    settings: api.Settings
+
+    @property
+    def seed(self) -> int:
+        try:
+            return int(self.config.seed, 16)
+        except ValueError:
+            return zlib.crc32(self.config.seed.encode())
+
+
+def load(path: str | None = None) -> Setup:
+    """The configuration from NODE_CONFIG, with the other NODE_ variables over it."""
+    path = path or os.environ.get("NODE_CONFIG", "")
+    if not path:
+        raise BadConfig("NODE_CONFIG names no file")
+    try:
+        config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
+    except OSError as error:
+        raise BadConfig(f"{path} can't be read: {error.strerror}") from None
+    except msgspec.MsgspecError as error:
+        raise BadConfig(f"{path} is no configuration: {error}") from None
+    config.name = os.environ.get("NODE_NAME") or config.name
+    config.listen = os.environ.get("NODE_LISTEN") or config.listen
+    config.discovery = os.environ.get("NODE_DISCOVERY") or config.discovery
+    for name, address in (("listen", config.listen), ("discovery", config.discovery)):
+        try:
+            split_address(address)
+        except ValueError:
+            raise BadConfig(f"{name} is no address: {address!r}") from None
+    try:
+        settings = api.Settings(**reader.read(reader.flatten(config.settings)))
+    except KeyError as error:
+        raise BadConfig(f"settings lack {error}") from None
+    except (ValueError, TypeError) as error:
+        raise BadConfig(f"settings can't be used: {error}") from None
+    return Setup(config, settings)
+
+
+class Node:
+    """One node: the core, its ports and its fronts on one loop."""
+
+    def __init__(self, setup: Setup, loop: asyncio.AbstractEventLoop) -> None:
+        self.setup = setup
+        self.loop = loop
+        self.stats = Stats()
+        self.backends = Backends(loop, setup.settings.connect_timeout)
+        self.core = Core(setup.settings, setup.seed, self.backends, self.stats, loop)
+        self.director = Director(self.core, self.backends.dialer, setup.config.discovery, self.stats)
+        self.channels: set[TcpChannel] = set()
+        self.ready = False
+        self.leaving = False
+        self.done: asyncio.Future[None] = loop.create_future()
+        self.server: asyncio.Server | None = None
+        self.stats.gauge("open_sessions", lambda: len(self.channels))
+        self.stats.gauge("reqs", lambda: len(self.core.reqs))
+
+    async def start(self) -> None:
+        config = self.setup.config
+        known = [item.entry() for item in config.known.servers]
+        self.core.listing(api.ListKind.CACHED, known)
+        self.director.first = self._get_ready
+        if known:
+            self.loop.call_later(READY_ANYWAY, self._get_ready)
+        self.director.start()
+        host, port = split_address(config.listen)
+
+        def channel() -> TcpChannel:
+            return TcpChannel(self.core, self.stats, lambda: self.ready, self.channels)
+
+        try:
+            self.server = await self.loop.create_server(channel, host, port, backlog=1024)
+        except OSError as error:
+            raise BadConfig(f"can't listen on {config.listen}: {error.strerror}") from None
+        log.info("listening", name=config.name, address=config.listen)
+
+    def _get_ready(self) -> None:
+        self.ready = not self.leaving
+
+    def stop(self) -> None:
+        if not self.done.done():
+            self.done.set_result(None)
+
+    def print_counters(self) -> None:
+        log.info("counters", **self.stats.snapshot())
+
+
+def run(setup: Setup) -> None:
+    """Serve until a signal ends it."""
+    import uvloop
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        raise_descriptor_limit(setup.config.limits.sockets)
+        node = Node(setup, loop)
+        loop.add_signal_handler(signal.SIGUSR1, node.print_counters)
+        loop.add_signal_handler(signal.SIGTERM, node.stop)
+        await node.start()
+        try:
+            await node.done
+        finally:
+            node.print_counters()
+
+    uvloop.run(main())
--- /dev/null
+++ b/gradegap/core.py
@@ -0,0 +1,502 @@
+"""Drives one `Balancer`: reqs, attempts, outcomes, timers and one clock. Knows no wire, decides nothing.
+
+Client sessions hand in reqs, a director hands in the list of backends, and what the module decides
+goes out through two ports: `BackendPort` for fetches and probes, `SessionPort` for answers and moves.
+The invariants kept here whatever the module says: one final answer for each req, never two attempts
+of a req out at once, nothing to a backend whose drain grace is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import structlog
+
+from gradegap import interface as api
+from gradegap.choice import Balancer
+from gradegap.stats import Stats
+
+log = structlog.get_logger()
+
+PROBE_WAIT = 0.25  # s until a probe counts as unanswered
+GRACE_MARGIN = 0.1  # s before a drain grace ends at which a fetch still connecting is abandoned
+EARLY = 0.008  # s before a deadline at which the last attempt ends, so that the answer is in time
+SILENCE = 5.0  # s without a line back, with one of the client's unanswered, until the session is moved
+SWEEP = 0.5  # s between two looks at standing sessions
+INHERIT_PAUSE = 0.15  # s between two tries at an inherited connection that could not be made
+NEVER = -1e9
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """What a client session asks for."""
+
+    cls: str
+    wait: float | None = None  # s the client waits for its connection; None: its class's limit
+    key: str = ""
+    team: str = ""
+    load: float = 0.0
+    retry: bool = False
+    reconnect: bool = False
+    at: str = ""  # the backend that holds this connection from before the run
+
+
+class SessionPort(Protocol):
+    """A client session, as the core sees it."""
+
+    def stand(self) -> None: ...
+    def refuse(self, after: float) -> None: ...
+    def fail(self) -> None: ...
+    def move(self) -> None: ...
+    def end(self) -> None: ...
+
+
+class FetchPort(Protocol):
+    """One attempt, as the core sees it."""
+
+    @property
+    def sent(self) -> bool: ...
+    def abandon(self) -> None: ...
+
+
+class BackendPort(Protocol):
+    def fetch(self, session: Any, backend: Backend, wait: float, attempt: Attempt) -> FetchPort: ...
+    def probe(self, backend: Backend, wait: float, done: ProbeDone) -> None: ...
+    def forget(self, backend: Backend) -> None: ...
+
+
+ProbeDone = Callable[[api.Result, Mapping[str, float] | None], None]
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    id: str
+    address: str = ""
+    phase: api.Phase = api.Phase.GONE
+    started_at: float = 0.0
+    told_at: float = NEVER  # when this node was told that it drains or is gone
+    least_delay: float = 9.0  # s, the shortest a message took: the way there and back
+    noted_at: float = NEVER
+    connecting: set[Attempt] = field(default_factory=set)  # nothing written yet
+
+
+@dataclass(slots=True, eq=False)
+class Req:
+    """A req from its first line to the end of its connection; a client session's handle on the core."""
+
+    core: Core
+    id: int
+    ask: Ask
+    session: SessionPort
+    deadline: float
+    attempts: int = 0
+    attempt: Attempt | None = None  # the one attempt out, or the one that stands
+    standing: bool = False
+    answered: bool = False
+    moved: bool = False
+    guard: asyncio.TimerHandle | None = None
+    heard_at: float = 0.0  # standing: when the backend last sent something
+    asked_at: float | None = None  # standing: the client's oldest line that nothing came back for
+
+    def gone(self) -> None:
+        """The client has left."""
+        self.core.client_gone(self)
+
+    def asked(self) -> None:
+        if self.asked_at is None:
+            self.asked_at = self.core.now()
+
+    def heard(self) -> None:
+        self.core.heard(self)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt; what its fetch tells comes here, and counts only while the attempt is live."""
+
+    req: Req
+    backend: Backend
+    number: int
+    began: float
+    wait: float
+    live: bool = True
+    fetch: FetchPort | None = None
+    timer: asyncio.TimerHandle | None = None
+
+    def wrote(self) -> None:
+        """The first line is out."""
+        self.backend.connecting.discard(self)
+
+    def up(self) -> None:
+        if self.live:
+            self.req.core.up(self)
+
+    def over(self, result: api.Result, report: Mapping[str, float] | None = None) -> None:
+        if self.live:
+            self.req.core.over(self, result, report)
+
+    def load(self, value: float) -> None:
+        if self.live:
+            self.req.core.note(self.req, self.backend, load=value)
+
+
+class Core:
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        backends: BackendPort,
+        stats: Stats,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.settings = settings
+        self.balancer = Balancer(settings, seed)
+        self.port = backends
+        self.stats = stats
+        self.loop = loop
+        self.anchor = time.time() - loop.time()  # once: the clock never jumps, yet compares with started_ms
+        self.backends: dict[str, Backend] = {}
+        self.reqs: dict[int, Req] = {}
+        self.next_id = 1
+        self.rng = random.Random(seed ^ 0x5EED)
+        self.leaving = False
+        self.emptied: Callable[[], None] | None = None
+        aims = [c.message_aim for c in settings.classes.values() if c.message_aim > 0]
+        self.slow_message = min(aims, default=0.15) / 3
+        self.act: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Move: self._move,
+            api.SetTimer: self._set_timer,
+            api.Probe: self._probe,
+            api.WatchList: lambda a: None,  # the director watches always
+            api.Log: lambda a: log.info("module", text=a.text),
+        }
+        loop.call_later(SWEEP, self._sweep)
+
+    def now(self) -> float:
+        return self.loop.time() + self.anchor
+
+    def feed(self, event: api.Event) -> None:
+        """One event to the module; its actions are carried out in order."""
+        for action in self.balancer.handle(self.now(), event):
+            self.act[type(action)](action)
+
+    # The list of backends
+
+    def listing(self, kind: api.ListKind, entries: Iterable[tuple[api.ServerEntry, str]]) -> None:
+        """The director's list: entries with the address of each backend."""
+        now = self.now()
+        known = list(entries)
+        told: list[Backend] = []
+        if kind is not api.ListKind.DELTA:
+            named = {e.server for e, _ in known}
+            for b in self.backends.values():
+                if b.id not in named and b.phase is not api.Phase.GONE:
+                    b.phase = api.Phase.GONE
+                    told.append(b)
+        for e, address in known:
+            b = self.backends.setdefault(e.server, Backend(e.server))
+            if b.phase is api.Phase.READY and e.phase is not api.Phase.READY:
+                told.append(b)
+            elif e.phase is not api.Phase.READY and b.told_at == NEVER:
+                b.told_at = now
+            if (address and address != b.address) or e.started_at > b.started_at:
+                # Guards against a probe connection to the process that ran there before.
+                self.port.forget(b)
+                b.least_delay = 9.0
+            b.address = address or b.address
+            b.phase, b.started_at = e.phase, e.started_at
+            if e.phase is api.Phase.READY:
+                b.told_at = NEVER
+        for b in told:
+            b.told_at = now
+            self._watch_grace(b)
+            if b.phase is api.Phase.GONE:
+                self.port.forget(b)
+        self.feed(api.ServerList(kind, tuple(e for e, _ in known)))
+
+    def _watch_grace(self, b: Backend) -> None:
+        wait = self.settings.drain_grace - GRACE_MARGIN
+        if b.connecting:
+            self.loop.call_later(max(0.0, wait), self._end_connecting, b, b.told_at)
+
+    def _end_connecting(self, b: Backend, told_at: float) -> None:
+        """Guards against a first line written to a draining backend when its grace is over: a fetch that
+        is still connecting by then is abandoned unsent."""
+        if b.told_at != told_at:
+            return
+        for attempt in list(b.connecting):
+            self._abandon(attempt)
+            self.over(attempt, api.Result.CONNECT_FAILED)
+
+    def may_send(self, b: Backend) -> bool:
+        return b.told_at == NEVER or self.now() < b.told_at + self.settings.drain_grace - GRACE_MARGIN
+
+    # Client sessions
+
+    def take(self, session: SessionPort, ask: Ask) -> Req | None:
+        """A client session's req, or None where its class is unknown."""
+        cls = self.settings.classes.get(ask.cls)
+        if cls is None:
+            return None
+        self.stats.count("taken")
+        now = self.now()
+        wait = cls.limit if ask.wait is None else ask.wait
+        req = Req(self, self.next_id, ask, session, now + wait)
+        self.next_id += 1
+        self.reqs[req.id] = req
+        # Guards against a module that never answers: the answer is given here, still within the slack.
+        req.guard = self.loop.call_later(max(0.0, wait), self._overdue, req)
+        if ask.at:
+            self._inherit(req)
+        else:
+            self.feed(self._request(req))
+        return req
+
+    def _request(self, req: Req) -> api.Request:
+        a = req.ask
+        return api.Request(
+            req.id, a.cls, req.deadline, "", a.key, a.team, a.load, a.retry, False, a.reconnect
+        )
+
+    def client_gone(self, req: Req) -> None:
+        if req.id not in self.reqs:
+            return
+        attempt = req.attempt
+        if req.standing:
+            if attempt is not None:
+                self._abandon(attempt)
+                self.over(attempt, api.Result.CANCELLED)
+            return
+        if req.answered:
+            return
+        req.answered = True
+        self.stats.count("client_gone")
+        self._unguard(req)
+        if not req.ask.at:
+            self.feed(api.ClientGone(req.id))
+        if attempt is not None:
+            self._abandon(attempt)
+            self.over(attempt, api.Result.CANCELLED)
+        else:
+            self._drop(req)
+
+    def _overdue(self, req: Req) -> None:
+        if req.answered or req.standing:
+            return
+        attempt = req.attempt
+        if attempt is not None:
+            self._time_out(attempt)
+        if not req.answered:
+            self.stats.count("overdue")
+            self._answer(req, "failed")
+            req.session.fail()
+            if not req.ask.at:
+                self.feed(api.ClientGone(req.id))
+            self._drop(req)
+
+    # What the module decides
+
+    def _send(self, a: api.Send) -> None:
+        req, b = self.reqs.get(a.id), self.backends.get(a.server)
+        wait = 0.0 if req is None else min(a.timeout, req.deadline - EARLY - self.now())
+        if req is None or req.answered or req.attempt is not None or req.standing:
+            # Guards against two attempts at once, or one after the answer.
+            self.stats.count("moot")
+            return
+        attempt = Attempt(req, b or Backend(a.server), req.attempts, self.now(), wait)
+        req.attempts += 1
+        req.attempt = attempt
+        if b is None or not self.may_send(b) or attempt.number >= self.settings.max_attempts or wait <= 0:
+            self.loop.call_soon(attempt.over, api.Result.MOOT)
+            return
+        self._fetch(attempt)
+
+    def _fetch(self, attempt: Attempt) -> None:
+        self.stats.count("sent")
+        b = attempt.backend
+        b.connecting.add(attempt)
+        if b.told_at != NEVER:
+            self._watch_grace(b)
+        attempt.timer = self.loop.call_later(attempt.wait, self._time_out, attempt)
+        attempt.fetch = self.port.fetch(attempt.req.session, b, attempt.wait, attempt)
+
+    def _answer(self, req: Req, kind: str) -> None:
+        req.answered = True
+        self._unguard(req)
+        self.stats.count(f"answered_{kind}")
+
+    def _refuse(self, a: api.Refuse) -> None:
+        req = self.reqs.get(a.id)
+        if req is not None and not req.answered:
+            self._answer(req, "refused")
+            req.session.refuse(a.retry_after)
+            self._finish(req)
+
+    def _fail(self, a: api.Fail) -> None:
+        req = self.reqs.get(a.id)
+        if req is not None and not req.answered:
+            self._answer(req, "failed")
+            req.session.fail()
+            self._finish(req)
+
+    def _finish(self, req: Req) -> None:
+        if req.attempt is None:
+            self._drop(req)
+        else:
+            self._abandon(req.attempt)
+            self.loop.call_soon(req.attempt.over, api.Result.CANCELLED)
+
+    def _move(self, a: api.Move) -> None:
+        req = self.reqs.get(a.id)
+        if req is not None:
+            self.move(req)
+
+    def move(self, req: Req) -> None:
+        """End a standing session politely; the session says MOVE between two lines."""
+        attempt = req.attempt
+        if req.standing and not req.moved and attempt is not None:
+            req.moved = True
+            self.stats.count("moved")
+            req.session.move()
+            self.loop.call_soon(attempt.over, api.Result.CANCELLED)
+
+    def _set_timer(self, a: api.SetTimer) -> None:
+        self.loop.call_later(max(0.0, a.wait), self.feed, api.Timer(a.token))
+
+    def _probe(self, a: api.Probe) -> None:
+        b = self.backends.get(a.server)
+        began = self.now()
+        self.stats.count("probes")
+
+        def done(result: api.Result, report: Mapping[str, float] | None) -> None:
+            self.stats.count(f"probe_{result.name.lower()}")
+            self.feed(api.ProbeResult(a.server, result, self.now() - began, report))
+
+        if b is None or not self.may_send(b):
+            # A backend that has drained gets nothing new, probes included.
+            self.loop.call_soon(done, api.Result.CONNECT_FAILED, None)
+        else:
+            self.port.probe(b, PROBE_WAIT, done)
+
+    # What attempts come to
+
+    def up(self, attempt: Attempt) -> None:
+        req = attempt.req
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self._answer(req, "served")
+        req.standing = True
+        req.heard_at = self.now()
+        req.session.stand()
+        if req.ask.at:
+            self.feed(api.Inherited(self._request(req), attempt.backend.id))
+        else:
+            spent = self.now() - attempt.began
+            self.feed(api.Established(req.id, attempt.number, attempt.backend.id, spent))
+
+    def over(self, attempt: Attempt, result: api.Result, report: Mapping[str, float] | None = None) -> None:
+        """The one outcome of an attempt; whatever its fetch says later is not heard."""
+        if not attempt.live:
+            return
+        attempt.live = False
+        attempt.backend.connecting.discard(attempt)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        req = attempt.req
+        req.attempt = None
+        self.stats.count(f"{'ended' if req.standing else 'fetch'}_{result.name.lower()}")
+        if req.standing and not req.moved:
+            req.session.end()
+        if req.ask.at and not req.standing:
+            self._inherit_over(req, result)
+            return
+        settled = req.answered
+        spent = self.now() - attempt.began
+        if settled:
+            self._drop(req)
+        self.feed(api.Outcome(req.id, attempt.number, attempt.backend.id, result, spent, settled, report))
+
+    def _time_out(self, attempt: Attempt) -> None:
+        if attempt.live and not attempt.req.standing:
+            sent = attempt.fetch is not None and attempt.fetch.sent
+            self._abandon(attempt)
+            self.over(attempt, api.Result.TIMEOUT if sent else api.Result.CONNECT_FAILED)
+
+    def _abandon(self, attempt: Attempt) -> None:
+        if attempt.fetch is not None:
+            attempt.fetch.abandon()
+
+    def _unguard(self, req: Req) -> None:
+        if req.guard is not None:
+            req.guard.cancel()
+            req.guard = None
+
+    def _drop(self, req: Req) -> None:
+        self._unguard(req)
+        self.reqs.pop(req.id, None)
+        if not self.reqs and self.emptied is not None:
+            self.emptied()
+
+    # Connections from before the run
+
+    def _inherit(self, req: Req) -> None:
+        """No decision: the backend is named by the client, and the connection already stands there."""
+        b = self.backends.get(req.ask.at)
+        if req.answered or req.id not in self.reqs:
+            return
+        wait = req.deadline - EARLY - self.now()
+        if b is None or not b.address or not self.may_send(b) or wait <= 0:
+            self._answer(req, "failed")
+            req.session.fail()
+            self._drop(req)
+            return
+        req.attempt = Attempt(req, b, 0, self.now(), wait)
+        self._fetch(req.attempt)
+
+    def _inherit_over(self, req: Req, result: api.Result) -> None:
+        if req.answered:
+            self._drop(req)
+        elif result in api.NEVER_RAN and req.deadline - self.now() > 2 * INHERIT_PAUSE:
+            self.loop.call_later(INHERIT_PAUSE, self._inherit, req)
+        else:
+            self._answer(req, "failed")
+            req.session.fail()
+            self._drop(req)
+
+    # Standing sessions
+
+    def heard(self, req: Req) -> None:
+        now = self.now()
+        req.heard_at = now
+        asked, req.asked_at = req.asked_at, None
+        if asked is None or req.attempt is None:
+            return
+        b = req.attempt.backend
+        delay = now - asked
+        b.least_delay = min(b.least_delay, delay)
+        slow = delay - b.least_delay
+        if slow > self.slow_message and now - b.noted_at > 1.0:
+            b.noted_at = now
+            self.note(req, b, delay=slow)
+
+    def note(self, req: Req, b: Backend, load: float | None = None, delay: float | None = None) -> None:
+        if req.standing and not req.moved:
+            self.feed(api.Note(req.id, b.id, load, delay))
+
+    def _sweep(self) -> None:
+        """Guards against a backend that holds a connection and says nothing: its client is told to move
+        before the silence has lasted the seven seconds that the protocol allows."""
+        self.loop.call_later(SWEEP, self._sweep)
+        now = self.now()
+        for req in list(self.reqs.values()):
+            if req.standing and req.asked_at is not None and now - req.heard_at > SILENCE:
+                self.stats.count("silent")
+                self.move(req)
--- a/gradegap/interface.py
+++ b/gradegap/interface.py
@@ -104,6 +104,7 @@
     ask_within: float = 10.0
     drain_grace: float = 1.0
     answer_slack: float = 0.0
+    connect_timeout: float = 0.2  # a connection not up within this has failed
     max_attempts: int = 3
     max_retry_after: float = 0.0  # 0: no advice is passed on to clients
     probes: bool = True
--- /dev/null
+++ b/gradegap/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol: lines over TCP, and discovery's list over HTTP."""
--- /dev/null
+++ b/gradegap/net/backend.py
@@ -0,0 +1,377 @@
+"""The backend port: dials save servers, carries one attempt on each connection, and probes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+from gradegap.core import Attempt, Backend, ProbeDone
+from gradegap.interface import Result
+from gradegap.net.client_session import HIGH_WATER, ClientSession, no_delay, reset
+from gradegap.net.framing import LONGEST, parse_report
+
+PROBE_IDLE = 20.0  # s until an idle probe connection is closed
+END_WAIT = 0.9  # s that a backend may take to end its side once the client has ended its own
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Dialer:
+    """Makes TCP connections without a task for each: one task hands all that are made to the loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.made: asyncio.Queue[tuple[socket.socket, asyncio.Protocol]] = asyncio.Queue()
+        self.task = loop.create_task(self._hand_over())
+
+    def dial(
+        self, address: str, wait: float, protocol: asyncio.Protocol, failed: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Connect; `protocol` hears of it as usual, `failed` is called where it can't be done in time.
+        Gives back what stops it."""
+        host, port = split_address(address)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        over = False
+        sock: socket.socket | None = None
+        timer: asyncio.TimerHandle | None = None
+
+        def end() -> None:
+            nonlocal over
+            over = True
+            if timer is not None:
+                timer.cancel()
+            if sock is not None:
+                self.loop.remove_writer(sock)
+
+        def stop() -> None:
+            if not over:
+                end()
+                if sock is not None:
+                    sock.close()
+
+        def fail() -> None:
+            if not over:
+                stop()
+                failed()
+
+        def writable() -> None:
+            if over or sock is None:
+                return
+            if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                fail()
+                return
+            end()
+            self.made.put_nowait((sock, protocol))
+
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.connect((host, port))
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.loop.call_soon(fail)
+            return stop
+        assert sock is not None
+        self.loop.add_writer(sock, writable)
+        timer = self.loop.call_later(wait, fail)
+        return stop
+
+    async def _hand_over(self) -> None:
+        while True:
+            sock, protocol = await self.made.get()
+            try:
+                await self.loop.create_connection(lambda p=protocol: p, sock=sock)  # type: ignore[misc]
+            except OSError as error:
+                sock.close()
+                protocol.connection_lost(error)
+
+
+class Fetch(asyncio.Protocol):
+    """One attempt on its own connection: the first line out, the answer in, then lines both ways."""
+
+    def __init__(self, session: ClientSession, attempt: Attempt, wait: float) -> None:
+        self.session = session
+        self.attempt = attempt
+        self.wait = wait
+        self.transport: asyncio.Transport | None = None
+        self.stop: Callable[[], None] | None = None
+        self.sent = False
+        self.up = False
+        self.over = False
+        self.paused = False
+        self.said: Result | None = None  # what the backend's last word makes of its end
+        self.report: dict[str, float] | None = None
+        self.buffer = b""
+        self.eof_sent = False
+
+    def dial_failed(self) -> None:
+        self._finish(Result.CONNECT_FAILED)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        # Guards against a first line for an attempt given up while it was connecting.
+        if self.over or not self.attempt.live or self.session.opening is None:
+            self.transport.abort()
+            return
+        self.transport.set_write_buffer_limits(HIGH_WATER)
+        no_delay(self.transport)
+        left = self.wait - (self.attempt.req.core.now() - self.attempt.began)
+        self.sent = True
+        self.attempt.wrote()
+        self.transport.write(self.session.opening.with_wait(left))
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        if self.up:
+            self.session.passed(data)
+            return
+        self.buffer += data
+        end = self.buffer.find(b"\n")
+        if end < 0:
+            if len(self.buffer) >= LONGEST:
+                self._answer(Result.ERROR)
+            return
+        word = self.buffer[:end].rstrip(b"\r")
+        if word == b"UP" or word.startswith(b"UP "):
+            self.up = True
+            self.session.join(self, self.buffer)
+            self.buffer = b""
+            self.attempt.up()
+        else:
+            self._read_word(word)
+            self._answer(self.said or Result.ERROR)
+
+    def saw(self, line: bytes) -> None:
+        """A line that went by on a standing connection."""
+        if line.startswith(b"LOAD "):
+            with contextlib.suppress(ValueError):
+                self.attempt.load(float(line[5:]) * 1e-6)
+        else:
+            self.said = None
+            self._read_word(line)
+
+    def _read_word(self, line: bytes) -> None:
+        word, _, rest = line.decode("utf-8", "replace").partition(" ")
+        if word in ("BYE", "ERR", "BUSY", "MOVE"):
+            words = {"BYE": Result.OK, "ERR": Result.ERROR, "BUSY": Result.FULL, "MOVE": Result.CANCELLED}
+            self.said = words[word]
+            self.report = parse_report(rest)
+
+    def _answer(self, result: Result) -> None:
+        """An answer other than UP."""
+        if result is Result.OK:
+            result = Result.ERROR  # ended before it stood
+        transport = self.transport
+        self._finish(result, self.report)
+        if transport is not None:
+            transport.close()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.over:
+            return
+        if not self.up:
+            self._finish(Result.RESET if self.sent else Result.CONNECT_FAILED)
+            return
+        self.session.reset = exc is not None
+        if self.said is not None:
+            self._finish(self.said, self.report)
+        elif self.eof_sent:
+            self._finish(Result.CANCELLED)
+        else:
+            self._finish(Result.RESET)
+
+    def _finish(self, result: Result, report: dict[str, float] | None = None) -> None:
+        if not self.over:
+            self.over = True
+            self.attempt.over(result, report)
+
+    def abandon(self) -> None:
+        """Give the attempt up by closing its connection."""
+        self.over = True
+        if self.stop is not None:
+            self.stop()
+        if self.transport is not None:
+            self.transport.close()
+
+    # The pipe of a standing session
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.over and not self.eof_sent:
+            self.transport.write(data)
+
+    def write_eof(self) -> None:
+        transport = self.transport
+        if transport is None or self.eof_sent:
+            return
+        self.eof_sent = True
+        if not transport.is_closing():
+            transport.write_eof()
+        self.session.core.loop.call_later(END_WAIT, transport.close)
+
+    def reset(self) -> None:
+        if self.transport is not None:
+            reset(self.transport)
+
+    def pause(self) -> None:
+        if self.transport is not None and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.transport is not None and self.paused:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        self.session.channel.pause()
+
+    def resume_writing(self) -> None:
+        self.session.channel.resume()
+
+
+class Prober(asyncio.Protocol):
+    """A connection that carries probes to one backend; kept while it answers."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, gone: Callable[[Prober], None]) -> None:
+        self.loop = loop
+        self.gone = gone
+        self.transport: asyncio.Transport | None = None
+        self.stop: Callable[[], None] | None = None
+        self.waiting: ProbeDone | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.idle: asyncio.TimerHandle | None = None
+        self.asked = False
+        self.buffer = b""
+
+    def ask(self, wait: float, done: ProbeDone) -> None:
+        self.waiting = done
+        self.asked = False
+        self.timer = self.loop.call_later(wait, self._late)
+        if self.idle is not None:
+            self.idle.cancel()
+        self._write()
+
+    def _write(self) -> None:
+        if self.transport is not None and self.waiting is not None:
+            self.asked = True
+            self.transport.write(b"STATS\r\n")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        no_delay(self.transport)
+        if self.waiting is None:
+            self.close()
+        else:
+            self._write()
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        end = self.buffer.find(b"\n")
+        if end < 0:
+            if len(self.buffer) >= LONGEST:
+                self._over(Result.ERROR)
+                self.close()
+            return
+        word, _, rest = self.buffer[:end].rstrip(b"\r").decode("utf-8", "replace").partition(" ")
+        self.buffer = self.buffer[end + 1 :]
+        if word == "PONG":
+            self._over(Result.OK, parse_report(rest))
+        else:
+            self._over(Result.FULL if word == "BUSY" else Result.ERROR)
+
+    def _over(self, result: Result, report: dict[str, float] | None = None) -> None:
+        done, self.waiting = self.waiting, None
+        if self.timer is not None:
+            self.timer.cancel()
+        if done is not None:
+            self.idle = self.loop.call_later(PROBE_IDLE, self.close)
+            done(result, report)
+
+    def _late(self) -> None:
+        # Guards against a late answer taken for the next one's: this connection is not used again.
+        result = Result.TIMEOUT if self.asked else Result.CONNECT_FAILED
+        self.close()
+        self._over(result)
+
+    def dial_failed(self) -> None:
+        self.gone(self)
+        self._over(Result.CONNECT_FAILED)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.gone(self)
+        self._over(Result.RESET if self.asked else Result.CONNECT_FAILED)
+
+    def close(self) -> None:
+        self.gone(self)
+        if self.idle is not None:
+            self.idle.cancel()
+        if self.stop is not None:
+            self.stop()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Backends:
+    """The core's backend port over TCP."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, connect_wait: float) -> None:
+        self.loop = loop
+        self.dialer = Dialer(loop)
+        self.connect_wait = connect_wait
+        self.probers: dict[str, Prober] = {}
+
+    def fetch(self, session: Any, backend: Backend, wait: float, attempt: Attempt) -> Fetch:
+        fetch = Fetch(session, attempt, wait)
+        limit = min(wait, self.connect_wait)
+        fetch.stop = self.dialer.dial(backend.address, limit, fetch, fetch.dial_failed)
+        return fetch
+
+    def probe(self, backend: Backend, wait: float, done: ProbeDone) -> None:
+        prober = self.probers.get(backend.id)
+        if prober is not None and prober.waiting is not None:
+            self.loop.call_soon(done, Result.FULL, None)
+            return
+        if prober is None:
+            prober = Prober(self.loop, lambda p: self._gone(backend.id, p))
+            self.probers[backend.id] = prober
+            prober.ask(wait, done)
+            limit = min(wait, self.connect_wait)
+            prober.stop = self.dialer.dial(backend.address, limit, prober, prober.dial_failed)
+        else:
+            prober.ask(wait, done)
+
+    def _gone(self, name: str, prober: Prober) -> None:
+        if self.probers.get(name) is prober:
+            del self.probers[name]
+
+    def forget(self, backend: Backend) -> None:
+        prober = self.probers.get(backend.id)
+        if prober is not None:
+            prober.close()
+            self.loop.call_soon(prober._over, Result.RESET)
+
+
+def raise_descriptor_limit(wanted: int) -> None:
+    import resource
+
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        top = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, top), hard))
+
+
+__all__ = ["Backends", "Dialer", "Fetch", "Prober", "raise_descriptor_limit"]
--- /dev/null
+++ b/gradegap/net/client_session.py
@@ -0,0 +1,313 @@
+"""The line front: a client session, whatever channel carries its lines, and its TCP channel."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Protocol, cast
+
+from gradegap.core import Core, Req
+from gradegap.net.framing import LONGEST, BadLine, LineWatch, Opening, parse_opening
+from gradegap.stats import Stats
+
+HIGH_WATER = 64 * 1024  # bytes kept for one side until the other is no longer read
+FIRST_LINE_WAIT = 30.0  # s that a connection may take over its first line, or idle between two PINGs
+LINGER = 1.0  # s for the other side to end a connection that has been answered
+LINE_END_WAIT = 0.5  # s for the end of a line that is half through, before a MOVE
+
+
+class Ending(Enum):
+    """Why a channel is closed."""
+
+    REFUSED = "refused"
+    FAILED = "failed"
+    BAD = "bad"
+    MOVED = "moved"
+    SERVED = "served"
+    RESET = "reset"
+
+
+class Channel(Protocol):
+    """What carries a session's lines."""
+
+    def write(self, data: bytes) -> None: ...
+    def close(self, ending: Ending) -> None: ...
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+
+
+class Pipe(Protocol):
+    """The backend's side of a session that stands."""
+
+    def write(self, data: bytes) -> None: ...
+    def write_eof(self) -> None: ...
+    def reset(self) -> None: ...
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+
+
+class ClientSession:
+    """One client's connection: its first line, its answer, then lines both ways."""
+
+    def __init__(self, core: Core, stats: Stats, channel: Channel, ready: Callable[[], bool]) -> None:
+        self.core = core
+        self.stats = stats
+        self.channel = channel
+        self.ready = ready
+        self.opening: Opening | None = None
+        self.req: Req | None = None
+        self.pipe: Pipe | None = None
+        self.buffer = bytearray()  # before the answer: what came and is not passed on yet
+        self.watch = LineWatch(self._passed)
+        self.standing = False
+        self.closed = False
+        self.moving = False
+        self.reset = False
+        self.timer: asyncio.TimerHandle | None = core.loop.call_later(FIRST_LINE_WAIT, self._idle)
+
+    # From the channel
+
+    def data(self, data: bytes) -> None:
+        if self.closed:
+            return
+        if self.standing and self.pipe is not None:
+            if self.req is not None:
+                self.req.asked()
+            self.pipe.write(data)
+            return
+        self.buffer += data
+        if self.opening is None:
+            self._first_lines()
+        elif len(self.buffer) > HIGH_WATER:
+            self.channel.pause()
+
+    def eof(self) -> None:
+        """The client has ended its side."""
+        if self.standing and self.pipe is not None and not self.closed:
+            self.pipe.write_eof()
+        else:
+            self.lost()
+
+    def lost(self, reset: bool = False) -> None:
+        """The channel is gone, or its client before an answer."""
+        if self.closed:
+            return
+        pipe, req = self.pipe, self.req
+        self._shut(Ending.RESET if reset else Ending.SERVED)
+        if self.standing and pipe is not None and reset:
+            pipe.reset()
+        if req is not None:
+            req.gone()
+
+    def drained(self, full: bool) -> None:
+        """Whether the channel takes more: flow control towards the backend."""
+        if self.pipe is not None:
+            if full:
+                self.pipe.pause()
+            else:
+                self.pipe.resume()
+
+    def _idle(self) -> None:
+        if self.opening is None and not self.closed:
+            self._shut(Ending.BAD)
+
+    def _first_lines(self) -> None:
+        """PING for as long as it comes; the first other line opens the session."""
+        while self.opening is None and not self.closed:
+            end = self.buffer.find(b"\n")
+            # Guards against first lines without end: over 4 KiB there is one failure line and a close.
+            if end >= LONGEST or (end < 0 and len(self.buffer) >= LONGEST):
+                self._bad("too long")
+                return
+            if end < 0:
+                return
+            line = bytes(self.buffer[: end + 1])
+            del self.buffer[: end + 1]
+            if line.rstrip(b"\r\n") == b"PING":
+                self.stats.count("pings")
+                self.channel.write(b"PONG\r\n" if self.ready() else b"ERR\r\n")
+                continue
+            try:
+                self.opening = parse_opening(line)
+            except BadLine as error:
+                self._bad(str(error))
+                return
+            if self.timer is not None:
+                self.timer.cancel()
+            req = self.core.take(self, self.opening.ask)
+            if req is None:
+                self._bad("unknown class")
+            else:
+                self.req = req
+
+    def _bad(self, why: str) -> None:
+        self.stats.count("bad_first_lines")
+        self.channel.write(b"ERR\r\n")
+        self._shut(Ending.BAD)
+
+    # From the core
+
+    def stand(self) -> None:
+        self.standing = True
+        assert self.pipe is not None
+        if self.buffer:
+            # Bytes that the client sent behind its first line belong to the backend.
+            self.pipe.write(bytes(self.buffer))
+            self.buffer.clear()
+        self.channel.resume()
+
+    def refuse(self, after: float) -> None:
+        self.channel.write(b"BUSY %d\r\n" % round(after * 1000) if after > 0 else b"BUSY\r\n")
+        self._shut(Ending.REFUSED)
+
+    def fail(self) -> None:
+        self.channel.write(b"ERR\r\n")
+        self._shut(Ending.FAILED)
+
+    def move(self) -> None:
+        if self.watch.between:
+            self._say_move()
+        else:
+            # Guards against a MOVE inside a line: the rest of the line goes first.
+            self.moving = True
+            self.core.loop.call_later(LINE_END_WAIT, self._line_never_ended)
+
+    def end(self) -> None:
+        """The backend's side has ended."""
+        if not self.closed:
+            self._shut(Ending.RESET if self.reset else Ending.SERVED)
+
+    def _say_move(self) -> None:
+        self.moving = False
+        self.channel.write(b"MOVE\r\n")
+        pipe = self.pipe
+        self._shut(Ending.MOVED)
+        if pipe is not None:
+            pipe.write_eof()
+
+    def _line_never_ended(self) -> None:
+        if self.moving and not self.closed:
+            pipe = self.pipe
+            self._shut(Ending.RESET)
+            if pipe is not None:
+                pipe.reset()
+
+    # From the backend's side
+
+    def join(self, pipe: Pipe, first: bytes) -> None:
+        """The backend has said UP: from here on its bytes are the client's."""
+        self.pipe = pipe
+        self.passed(first)
+
+    def passed(self, data: bytes) -> None:
+        if self.closed:
+            return
+        if self.moving:
+            end = data.find(b"\n") + 1
+            if end:
+                self.channel.write(data[:end])
+                self._say_move()
+            else:
+                self.channel.write(data)
+            return
+        self.watch.feed(data)
+        self.channel.write(data)
+        if self.req is not None:
+            self.req.heard()
+
+    def _passed(self, line: bytes) -> None:
+        if self.pipe is not None:
+            cast(Any, self.pipe).saw(line)
+
+    def _shut(self, ending: Ending) -> None:
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.buffer.clear()
+        self.channel.close(ending)
+
+
+class TcpChannel(asyncio.Protocol):
+    """A client's TCP connection."""
+
+    def __init__(self, core: Core, stats: Stats, ready: Callable[[], bool], live: set[TcpChannel]) -> None:
+        self.loop = core.loop
+        self.live = live
+        self.transport: asyncio.Transport | None = None
+        self.session = ClientSession(core, stats, self, ready)
+        self.closing = False
+        self.paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(HIGH_WATER)
+        no_delay(self.transport)
+        self.live.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.closing:
+            self.session.data(data)
+
+    def eof_received(self) -> bool:
+        if self.closing:
+            return False
+        self.session.eof()
+        return not self.closing
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.live.discard(self)
+        self.transport = None
+        self.session.lost(reset=exc is not None)
+
+    def pause_writing(self) -> None:
+        self.session.drained(full=True)
+
+    def resume_writing(self) -> None:
+        self.session.drained(full=False)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.closing:
+            self.transport.write(data)
+
+    def pause(self) -> None:
+        if self.transport is not None and not self.paused and not self.closing:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.transport is not None and self.paused:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def close(self, ending: Ending) -> None:
+        transport = self.transport
+        if transport is None or self.closing:
+            return
+        self.resume()
+        self.closing = True
+        if ending is Ending.RESET:
+            reset(transport)
+            return
+        # Guards against the answer being lost to a reset: a socket closed with unread bytes, or one
+        # that gets more, resets the other side. So only our side ends, and the rest is read away.
+        if transport.can_write_eof() and not transport.is_closing():
+            transport.write_eof()
+        self.loop.call_later(LINGER, transport.close)
+
+
+def no_delay(transport: asyncio.BaseTransport) -> None:
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection by a reset, as the other side of it was."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- /dev/null
+++ b/gradegap/net/director.py
@@ -0,0 +1,195 @@
+"""Discovery over HTTP: the full list once, then a watch that goes on call after call."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+import msgspec
+import structlog
+
+from gradegap import interface as api
+from gradegap.core import Core
+from gradegap.net.backend import Dialer
+from gradegap.stats import Stats
+
+log = structlog.get_logger()
+
+PATH = "/registry/instances"
+WATCH_WAIT = 5.0  # s that a watch may hold
+ANSWER_WAIT = 1.5  # s beyond that until a silent director is called anew
+CONNECT_WAIT = 0.5
+RETRY = 0.1  # s between a call that failed and the next
+LARGEST = 8 * 1024 * 1024  # bytes of one answer
+STATES = {"Ready": api.Phase.READY, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
+
+
+class Item(msgspec.Struct):
+    id: str
+    addr: str = ""
+    zone: str = ""
+    kind: str = ""
+    cell: int = 0
+    state: str = "Ready"
+    weight: float = 1.0
+    started_ms: float = 0.0
+
+    def entry(self) -> tuple[api.ServerEntry, str]:
+        # A state of a later protocol takes nothing new: it is not Ready.
+        phase = STATES.get(self.state, api.Phase.DRAINING)
+        entry = api.ServerEntry(
+            self.id, self.zone, self.cell, phase, self.weight, max(0.0, self.started_ms) / 1000
+        )
+        return entry, self.addr
+
+
+class Listing(msgspec.Struct):
+    version: int = 0
+    full: bool = True
+    servers: list[Item] = []
+
+
+class Director:
+    """Keeps the core's list of backends as discovery tells it."""
+
+    def __init__(self, core: Core, dialer: Dialer, address: str, stats: Stats) -> None:
+        self.core = core
+        self.dialer = dialer
+        self.address = address
+        self.stats = stats
+        self.version: int | None = None  # None: the next call asks for the full list
+        self.told = False  # a list has come since the start
+        self.first: Callable[[], None] | None = None
+        self.call: Call | None = None
+        self.decoder = msgspec.json.Decoder(Listing)
+        stats.gauge("watch", lambda: {"version": self.version, "told": self.told})
+
+    def start(self) -> None:
+        self._connect()
+
+    def _connect(self) -> None:
+        self.call = call = Call(self)
+        call.stop = self.dialer.dial(self.address, CONNECT_WAIT, call, call.failed)
+
+    def target(self) -> str:
+        if self.version is None:
+            return PATH
+        return f"{PATH}?index={self.version}&wait={round(WATCH_WAIT * 1000)}"
+
+    def answer(self, body: bytes) -> bool:
+        """Whether the answer could be read."""
+        try:
+            listing = self.decoder.decode(body)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            self.stats.count("lists_malformed")
+            log.warning("list malformed", error=str(error))
+            return False
+        self.stats.count("lists_full" if listing.full else "lists_delta")
+        if not listing.full and self.version is None:
+            return False
+        self.version = listing.version
+        if listing.full or listing.servers:
+            kind = api.ListKind.FULL if listing.full else api.ListKind.DELTA
+            self.core.listing(kind, [item.entry() for item in listing.servers])
+        if not self.told:
+            self.told = True
+            if self.first is not None:
+                self.first()
+        return True
+
+    def lost(self, call: Call, after: float = RETRY, anew: bool = False) -> None:
+        """A call has failed: the last list is kept, and discovery is called again."""
+        if call is not self.call:
+            return
+        self.call = None
+        if anew:
+            self.version = None
+        self.core.loop.call_later(after, self._connect)
+
+
+class Call(asyncio.Protocol):
+    """A connection to discovery; the next request goes out as soon as an answer is read."""
+
+    def __init__(self, director: Director) -> None:
+        self.director = director
+        self.loop = director.core.loop
+        self.transport: asyncio.Transport | None = None
+        self.stop: Callable[[], None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.answers = 0
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = bytearray()
+        self.complete = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self._ask()
+
+    def _ask(self) -> None:
+        assert self.transport is not None
+        wait = ANSWER_WAIT + (WATCH_WAIT if self.director.version is not None else 0.0)
+        self.timer = self.loop.call_later(wait, self._silent)
+        head = f"GET {self.director.target()} HTTP/1.1\r\nHost: {self.director.address}\r\n\r\n"
+        self.transport.write(head.encode())
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            log.warning("discovery broke HTTP", error=str(error))
+            self._end(RETRY)
+            return
+        if len(self.body) > LARGEST:
+            self._end(RETRY)
+        elif self.complete:
+            self._answered()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    def _answered(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        status, keep = self.parser.get_status_code(), self.parser.should_keep_alive()
+        body = bytes(self.body)
+        self._fresh()
+        if status != 200 or not self.director.answer(body):
+            # Guards against a reply that can't be read: the last list is kept, the full one asked for.
+            self.director.stats.count("lists_failed")
+            self._end(RETRY, anew=True)
+            return
+        self.answers += 1
+        if keep and self.transport is not None and not self.transport.is_closing():
+            self._ask()
+        else:
+            self._end(0.0)
+
+    def _silent(self) -> None:
+        self.director.stats.count("lists_silent")
+        self._end(RETRY)
+
+    def failed(self) -> None:
+        self.director.stats.count("lists_failed")
+        self.director.lost(self)
+
+    def _end(self, after: float, anew: bool = False) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.director.lost(self, after, anew)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.timer is not None:
+            self.timer.cancel()
+        # A director that closed after an answer is called again at once: the watch goes on.
+        self.director.lost(self, 0.0 if self.answers else RETRY)
--- /dev/null
+++ b/gradegap/settings.py
@@ -0,0 +1,124 @@
+"""The one reader of settings: flat `path=value` pairs on the simulator's wire, nested JSON at a node."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gradegap import interface as i
+
+NS = 1e-9
+SOURCES = {"inline": i.Reports.ANSWERS, "on_probe": i.Reports.PROBE, "off": i.Reports.NONE}
+FIELDS = {
+    "concurrent": "inflight",
+    "depth": "queue",
+    "load_share": "util",
+    "mean_ms": "latency_ms",
+    "tps": "qps",
+    "err_ps": "eps",
+}
+WEIGHTS = {"off": i.Weights.NONE} | {w.value: w for w in i.Weights}
+
+Fields = dict[str, str]
+
+
+def report(text: str | None) -> dict[str, float] | None:
+    """A load report, `name:value` pairs set apart by commas, under the names of `interface.py`."""
+    if not text or text == "-":
+        return None
+    out = {}
+    for pair in text.split(","):
+        name, _, value = pair.partition(":")
+        out[FIELDS.get(name, name)] = float(value)
+    return out
+
+
+def read(fields: Fields) -> dict[str, Any]:
+    """The settings of an instance, from the pairs of its first message; ready for `interface.Settings`."""
+    f = {key: value for key, value in fields.items() if value != "null"}
+
+    def seconds(name: str, default: float = 0.0) -> float:
+        return float(f[name]) * NS if f.get(name) else default
+
+    def number(name: str, default: float = 0.0) -> float:
+        return float(f[name]) if f.get(name) else default
+
+    def yes(name: str, default: bool = False) -> bool:
+        return f[name] in ("true", "1") if name in f else default
+
+    def texts(name: str) -> list[str]:
+        return [t for t in f.get(name, "").split(",") if t]
+
+    aims = texts("FamilyInfo.MessageAimNs")
+    classes = {}
+    for k in range(int(f.get("Lanes.count", 0))):
+        p = f"Lanes.{k}."
+        name = f[p + "Name"]
+        classes[name] = i.ClassSettings(
+            name,
+            seconds(p + "AimNs"),
+            seconds(p + "HardLimitNs"),
+            number(p + "Points", 1.0),
+            i.Repeat(f.get(p + "Idempotency", "safe")),
+            i.RepeatGroup(f.get(p + "Group", "all")),
+            seconds(p + "DedupWindowNs"),
+            float(aims[k]) * NS if k < len(aims) and aims[k] != "null" else 0.0,
+        )
+    tenants = {}
+    quotas = texts("FamilyInfo.TenantQuotaConnections")
+    for k in range(int(f.get("Tenants.count", 0) or 0)):
+        p = f"Tenants.{k}."
+        name = f[p + "Name"]
+        quota = number(p + "QuotaPerS")
+        if k < len(quotas) and quotas[k] != "null":
+            quota = float(quotas[k])
+        tenants[name] = i.TenantSettings(name, quota, number(p + "Fraction"))
+    return {
+        "classes": classes,
+        "balancers": int(number("ReplicasOfMe", 1)),
+        "zone": f.get("Locality", ""),
+        "ask_for_list": f.get("MembershipMode") == "on_request",
+        "ask_within": seconds("Rules.AskWithinNs", 10.0),
+        "drain_grace": seconds("Rules.DrainGraceNs"),
+        "answer_slack": seconds("Rules.AnswerSlackNs"),
+        "connect_timeout": seconds("Bounds.ConnectTimeoutNs", 0.2),
+        "max_attempts": int(number("Bounds.MaxAttempts", 1)),
+        "max_retry_after": seconds("Bounds.MaxRetryAfterNs") if yes("Bounds.RetryAfter") else 0.0,
+        "probes": yes("Bounds.Probes"),
+        "reports": SOURCES.get(f.get("Telemetry.Source", "off"), i.Reports.NONE),
+        "report_fields": tuple(FIELDS.get(t, t) for t in texts("Telemetry.Fields")),
+        "weights": WEIGHTS.get(f.get("Weights", "off"), i.Weights.NONE),
+        "groups": yes("FamilyInfo.Groups"),
+        "passes": f.get("FamilyInfo.Mode") == "pass",
+        "cold_share": number("Rules.ColdShare", 1.0),
+        "cold_time": seconds("Rules.ColdNs"),
+        "fall_multiple": number("Rules.FallMultiple", 3.0),
+        "fall_time": seconds("Rules.FallNs", 1.0),
+        "cross_zone_price": number("Charges.CrossZone"),
+        "move_price": number("Charges.Moves"),
+        "probe_price": number("Charges.Probe"),
+        "cpu_per_request": number("Bounds.CpuUsPerRequest") * 1e-6,
+        "tenants": tenants,
+    }
+
+
+def flatten(value: Any, path: str = "", into: Fields | None = None) -> Fields:
+    """The nested object of config.json as the pairs that `read` takes."""
+    out: Fields = {} if into is None else into
+    if isinstance(value, dict):
+        for name, each in value.items():
+            flatten(each, f"{path}.{name}" if path else name, out)
+    elif isinstance(value, list) and any(isinstance(each, dict) for each in value):
+        out[f"{path}.count"] = str(len(value))
+        for k, each in enumerate(value):
+            flatten(each, f"{path}.{k}", out)
+    elif isinstance(value, list):
+        out[path] = ",".join("null" if each is None else _text(each) for each in value)
+    elif value is not None:
+        out[path] = _text(value)
+    return out
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value)
--- a/gradegap/wirehost.py
+++ b/gradegap/wirehost.py
@@ -14,39 +14,17 @@
 
 from gradegap import interface as i
 from gradegap.choice import Balancer
+from gradegap.settings import NS, Fields, read, report
 
-NS = 1e-9
 RESULTS = {str(int(r)): r for r in i.Result}
 KINDS = {str(int(k)): k for k in i.ListKind}
 PHASES = {str(int(p)): p for p in i.Phase}
-SOURCES = {"inline": i.Reports.ANSWERS, "on_probe": i.Reports.PROBE, "off": i.Reports.NONE}
-FIELDS = {
-    "concurrent": "inflight",
-    "depth": "queue",
-    "load_share": "util",
-    "mean_ms": "latency_ms",
-    "tps": "qps",
-    "err_ps": "eps",
-}
-WEIGHTS = {"off": i.Weights.NONE} | {w.value: w for w in i.Weights}
-
-Fields = dict[str, str]
 
 
 class Malformed(Exception):
     """A line of the wire that cannot be read."""
 
 
-def _report(text: str | None) -> dict[str, float] | None:
-    if not text or text == "-":
-        return None
-    out = {}
-    for pair in text.split(","):
-        name, _, value = pair.partition(":")
-        out[FIELDS.get(name, name)] = float(value)
-    return out
-
-
 def _request(f: Fields) -> i.Request:
     get = f.get
     return i.Request(
@@ -84,12 +62,12 @@
         RESULTS[f["StateCode"]],
         int(f.get("SpentNs", 0)) * NS,
         f.get("Settled") == "1",
-        _report(f.get("ServerStats")),
+        report(f.get("ServerStats")),
     ),
     "timed_out_client": lambda f: i.ClientGone(int(f["Tid"])),
     "reminder": lambda f: i.Timer(f["Ctx"]),
     "probe_done": lambda f: i.ProbeResult(
-        f["Server"], RESULTS[f["StateCode"]], int(f.get("SpentNs", 0)) * NS, _report(f.get("ServerStats"))
+        f["Server"], RESULTS[f["StateCode"]], int(f.get("SpentNs", 0)) * NS, report(f.get("ServerStats"))
     ),
 }
 
@@ -110,73 +88,6 @@
     return dict([part.split("=", 1) for part in line.split("\t")[1:]])
 
 
-def _settings(fields: Fields) -> dict[str, Any]:
-    f = {key: value for key, value in fields.items() if value != "null"}
-
-    def seconds(name: str, default: float = 0.0) -> float:
-        return float(f[name]) * NS if f.get(name) else default
-
-    def number(name: str, default: float = 0.0) -> float:
-        return float(f[name]) if f.get(name) else default
-
-    def yes(name: str, default: bool = False) -> bool:
-        return f[name] in ("true", "1") if name in f else default
-
-    def texts(name: str) -> list[str]:
-        return [t for t in f.get(name, "").split(",") if t]
-
-    aims = texts("FamilyInfo.MessageAimNs")
-    classes = {}
-    for k in range(int(f.get("Lanes.count", 0))):
-        p = f"Lanes.{k}."
-        name = f[p + "Name"]
-        classes[name] = i.ClassSettings(
-            name,
-            seconds(p + "AimNs"),
-            seconds(p + "HardLimitNs"),
-            number(p + "Points", 1.0),
-            i.Repeat(f.get(p + "Idempotency", "safe")),
-            i.RepeatGroup(f.get(p + "Group", "all")),
-            seconds(p + "DedupWindowNs"),
-            float(aims[k]) * NS if k < len(aims) and aims[k] != "null" else 0.0,
-        )
-    tenants = {}
-    quotas = texts("FamilyInfo.TenantQuotaConnections")
-    for k in range(int(f.get("Tenants.count", 0) or 0)):
-        p = f"Tenants.{k}."
-        name = f[p + "Name"]
-        quota = number(p + "QuotaPerS")
-        if k < len(quotas) and quotas[k] != "null":
-            quota = float(quotas[k])
-        tenants[name] = i.TenantSettings(name, quota, number(p + "Fraction"))
-    return {
-        "classes": classes,
-        "balancers": int(number("ReplicasOfMe", 1)),
-        "zone": f.get("Locality", ""),
-        "ask_for_list": f.get("MembershipMode") == "on_request",
-        "ask_within": seconds("Rules.AskWithinNs", 10.0),
-        "drain_grace": seconds("Rules.DrainGraceNs"),
-        "answer_slack": seconds("Rules.AnswerSlackNs"),
-        "max_attempts": int(number("Bounds.MaxAttempts", 1)),
-        "max_retry_after": seconds("Bounds.MaxRetryAfterNs") if yes("Bounds.RetryAfter") else 0.0,
-        "probes": yes("Bounds.Probes"),
-        "reports": SOURCES.get(f.get("Telemetry.Source", "off"), i.Reports.NONE),
-        "report_fields": tuple(FIELDS.get(t, t) for t in texts("Telemetry.Fields")),
-        "weights": WEIGHTS.get(f.get("Weights", "off"), i.Weights.NONE),
-        "groups": yes("FamilyInfo.Groups"),
-        "passes": f.get("FamilyInfo.Mode") == "pass",
-        "cold_share": number("Rules.ColdShare", 1.0),
-        "cold_time": seconds("Rules.ColdNs"),
-        "fall_multiple": number("Rules.FallMultiple", 3.0),
-        "fall_time": seconds("Rules.FallNs", 1.0),
-        "cross_zone_price": number("Charges.CrossZone"),
-        "move_price": number("Charges.Moves"),
-        "probe_price": number("Charges.Probe"),
-        "cpu_per_request": number("Bounds.CpuUsPerRequest") * 1e-6,
-        "tenants": tenants,
-    }
-
-
 def _ns(seconds: float) -> int:
     return round(seconds * 1e9)
 
@@ -218,7 +129,7 @@
             raise Malformed("an event before any 'to' line")
         if name == "begin":
             f = _fields(line)
-            seed, known = int(f["Seed"]), _settings(f)
+            seed, known = int(f["Seed"]), read(f)
             self.instances.pop(who, None)
             try:
                 self.instances[who] = Balancer(i.Settings(**known), seed)
--- /dev/null
+++ b/tests/test_framing.py
@@ -0,0 +1,57 @@
+"""First lines, reports and line ends as the protocol words them."""
+
+from __future__ import annotations
+
+import pytest
+
+from gradegap.net import framing
+
+
+def test_a_first_line_goes_on_unchanged_but_for_its_wait() -> None:
+    line = b"OPEN 9b1f 7f3a c=chat,d=2000,g=5c0f,r=1,again=1,h=12.5,x=d=7\r\n"
+    opening = framing.parse_opening(line)
+    assert opening.with_wait(0.7315) == line.replace(b"d=2000", b"d=731")
+    ask = opening.ask
+    assert (ask.cls, ask.wait, ask.key, ask.team) == ("chat", 2.0, "7f3a", "5c0f")
+    assert ask.retry and ask.reconnect and ask.at == ""
+
+
+def test_connections_from_before_the_run_may_wait_for_hours() -> None:
+    """Waits over an hour were once read as bad lines, and every such connection was lost."""
+    ask = framing.parse_opening(b"OPEN 1 2 c=chat,d=4294967,at=s-1\r\n").ask
+    assert ask.at == "s-1" and ask.wait == 4294.967
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"GET / HTTP/1.1\r\n",
+        b"OPEN 1 2\r\n",
+        b"OPEN 1 2 d=5\r\n",
+        b"OPEN 1 2 c=chat,d=soon\r\n",
+        b"OPEN 1 2 c=chat,d=-4\r\n",
+        b"OPEN 1 2 c=chat,d=nan\r\n",
+        b"OPEN 1 2 c=chat,junk\r\n",
+        b"OPEN 1 \xff c=chat\r\n",
+        b"\r\n",
+    ],
+)
+def test_bad_first_lines_are_told_apart(line: bytes) -> None:
+    with pytest.raises(framing.BadLine):
+        framing.parse_opening(line)
+
+
+def test_reports_are_read_under_the_modules_names_and_junk_is_skipped() -> None:
+    report = framing.parse_report("x0=0.61,concurrent=7,pace=high,odd")
+    assert report == {"x0": 0.61, "inflight": 7.0}
+    assert framing.parse_report("") is None
+
+
+def test_lines_are_seen_however_they_are_cut() -> None:
+    seen: list[bytes] = []
+    watch = framing.LineWatch(seen.append)
+    for piece in (b"LO", b"AD 5\r", b"\nBYE\r\nPA"):
+        watch.feed(piece)
+    assert seen == [b"LOAD 5", b"BYE"] and not watch.between
+    watch.feed(b"RT\r\n")
+    assert watch.between
