Tell clients to move before a draining server, or this node, leaves

Seen: on drains the module moved nobody; choice.py _set_phase only took the server off the ready list, so its connections were cut off when it stopped. Ruled out: that _relieve covers drains (it acts on load and silence alone). Cause of the loss: a draining server is capacity until it stops, and successors come when it stops, so every second early costs service. A new event, Leaving, lets the module pace the moves of a node that stops.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -23,6 +23,10 @@
 
 log = structlog.get_logger()
 
+LEAVE_MOVES = 2.6  # s from SIGTERM until the module has moved what stands
+LEAVE_AT_LEAST = 0.7  # s from SIGTERM during which clients may still come
+LEAVE_LAST = 3.0  # s from SIGTERM until whatever stands then is moved at once
+LEAVE_AT_MOST = 3.5  # s from SIGTERM until the end, short of the 3.7 s after which SIGKILL may come
 READY_ANYWAY = 2.0  # s after which a node with the list of its configuration serves without discovery
 
 
@@ -130,6 +134,27 @@
         self.ready = not self.leaving
 
     def stop(self) -> None:
+        """Leave: clients still come for a while, all are answered, all that stands is moved; then end."""
+        if self.leaving:
+            return
+        log.info("leaving", reqs=len(self.core.reqs))
+        self.leaving = True
+        self.ready = False
+        self.core.leave(LEAVE_MOVES)
+        self.loop.call_later(LEAVE_AT_LEAST, self._look_empty)
+        self.loop.call_later(LEAVE_LAST, self.core.move_all)
+        self.loop.call_later(LEAVE_AT_MOST, self._end)
+
+    def _look_empty(self) -> None:
+        # Idle connections of a front don't hold the node; answers on their way out do.
+        if self.core.reqs or any(c.session.opening for c in self.channels):
+            self.loop.call_later(0.05, self._look_empty)
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        if self.server is not None:
+            self.server.close()
         if not self.done.done():
             self.done.set_result(None)
 
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -42,6 +42,11 @@
 MOVE_TO = 0.75  # load over capacity that the moves of all proxies together aim at
 MOVE_GAIN = 0.5  # part of the excess to move at each look, as looks repeat
 MOVE_REST = 3.0  # report paces between two rounds of moves off one server, so that reports show the first
+LEAVE_TICK = 0.1  # s between two rounds of moves off what leaves
+LEAD = 3.6  # s that a server told to drain is held to stay, until one was seen to stop sooner
+LEAD_FROM, LEAD_TO = 0.75, 1.0  # parts of that lead between which its connections are moved
+GONE_TIME = 0.5  # s over which what is left on a server that is gone is moved
+LEAVE_LAG = 0.4  # s before a proxy that leaves begins to move: until then clients still come to it
 SILENT = 3  # probes in a row unanswered from which connections are moved away
 LOOK_FAST, LOOK_SLOW = 0.7, 4.0  # s between looks at a server that holds our connections: full, idle
 PROBES_PER_REQUEST = 6.0  # probes a request may use, looks included, so that their price is bounded
@@ -92,6 +97,8 @@
     own_at: float = 0.0
     silent: int = 0  # probes in a row that it left unanswered
     rest_until: float = 0.0  # no moves off it before
+    drains_at: float = 0.0  # when we were told that it drains or is gone; 0: it does not
+    empty_by: float = 0.0  # all our connections are moved off it by then
     held: dict[int, _Req] = field(default_factory=dict)  # own standing connections
     waiters: list[_Req] = field(default_factory=list)  # requests that wait for its probe
 
@@ -143,6 +150,8 @@
         self.ticking = False
         self.unit = 0.0  # what one connection adds to a server's load, learned from reports
         self.asking = False
+        self.empty_by = 0.0  # this proxy leaves: all its connections are moved by then
+        self.lead = LEAD
         self.list_failures = 0
         self.by_probe = settings.probes and settings.reports is not api.Reports.NONE
         self.field = next((f for f in COMPARED if f in settings.report_fields), "")
@@ -161,6 +170,7 @@
             api.ServerList: self._list,
             api.Inherited: self._inherited,
             api.ClientGone: self._client_gone,
+            api.Leaving: self._leaving,
         }
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -239,7 +249,11 @@
             if self.use_ring:
                 for i in range(RING_POINTS):
                     del self.ring[bisect_left(self.ring, (_hash(f"{s.name}#{i}"), s.name))]
-        if phase is api.Phase.GONE and not s.held:
+        if phase is api.Phase.READY:
+            s.drains_at = 0.0
+        elif s.held:
+            self._empty(s)
+        elif phase is api.Phase.GONE:
             self.servers.pop(s.name, None)
 
     # A request's way
@@ -492,6 +506,8 @@
         r.standing = True
         s = r.server
         s.held[r.id] = r
+        if s.phase is not api.Phase.READY:  # it began to drain while this one was set up
+            self._empty(s)
         self.stood.add(self.now)
         self._start_ticking()
 
@@ -506,7 +522,9 @@
         s = r.server
         r.out = False
         if s is not None:
-            s.held.pop(r.id, None)
+            held = s.held.pop(r.id, None)
+            if held and not s.held and e.result is api.Result.RESET and s.phase is api.Phase.DRAINING:
+                self.lead = max(0.3, min(self.lead, self.now - s.drains_at))  # it stopped before the end
             if s.phase is api.Phase.GONE and not s.held:
                 self.servers.pop(s.name, None)
         if e.settled or r.done or r.standing:
@@ -537,6 +555,8 @@
         s = self._known(e.server)
         r.attempts, r.out, r.standing, r.server = 1, True, True, s
         s.held[r.id] = r
+        if s.phase is api.Phase.DRAINING:
+            self._empty(s)
         self.reqs[r.id] = r
         self.began_with += 1
         self._start_ticking()
@@ -615,10 +635,38 @@
         s.rest_until = self.now + MOVE_REST * self._pace() * (0.5 + self.random())
         if count:
             # The least worth goes first: where no server has room it is what will be refused.
-            for r in sorted(s.held.values(), key=lambda r: r.cls.worth * (0.5 + self.random()))[:count]:
-                del s.held[r.id]
-                r.done = True
-                self.out.append(api.Move(r.id))
+            self._move(sorted(s.held.values(), key=lambda r: r.cls.worth * (0.5 + self.random()))[:count])
+
+    def _move(self, reqs: list[_Req]) -> None:
+        for r in reqs:
+            if r.server is not None:
+                r.server.held.pop(r.id, None)
+            r.done = True
+            self.out.append(api.Move(r.id))
+
+    def _empty(self, s: _Server) -> None:
+        """Condition: a server drains or is gone. What stands there is told to move before it leaves, a few
+        at a time, so that the clients who come again don't arrive as one wave."""
+        if s.drains_at <= 0.0:
+            s.drains_at = self.now
+            first, last = LEAD_FROM * self.lead, LEAD_TO * self.lead
+            if s.phase is api.Phase.GONE:
+                first, last = 0.0, GONE_TIME
+            s.empty_by = self.now + last
+            self.out.append(api.SetTimer(first + LEAVE_TICK * self.random(), f"e{s.name}"))
+
+    def _leaving(self, e: api.Leaving) -> None:
+        """Condition: this proxy itself stops. All that it holds is moved by then, paced likewise."""
+        if self.empty_by <= 0.0:
+            self.empty_by = e.by
+            self.out.append(api.SetTimer(min(LEAVE_LAG, max(0.0, e.by - self.now)), "leave"))
+
+    def _move_part(self, held: list[_Req], by: float, token: str) -> None:
+        """Move a share of what is left, so that all are moved by then; the worthiest first."""
+        rounds = max(1, int((by - self.now) / LEAVE_TICK))
+        held.sort(key=lambda r: r.cls.worth * (0.5 + self.random()), reverse=True)
+        self._move(held[: math.ceil(len(held) / rounds)])
+        self.out.append(api.SetTimer(LEAVE_TICK, token))
 
     def _note(self, e: api.Note) -> None:
         """Messages take long at a server: look at it."""
@@ -653,6 +701,13 @@
             self._look()
         elif e.token == "list":
             self.out.append(api.WatchList())
+        elif e.token == "leave":
+            every = [r for s in self.servers.values() for r in s.held.values()]
+            self._move_part(every, self.empty_by, e.token)
+        elif e.token[:1] == "e":
+            s = self.servers.get(e.token[1:])
+            if s is not None and s.drains_at > 0.0 and s.held:
+                self._move_part(list(s.held.values()), s.empty_by, e.token)
         elif e.token[:1] == "h":
             r = self.reqs.get(int(e.token[1:]))
             if r is None or r.done or r.out or r.standing:
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -471,6 +471,19 @@
             req.session.fail()
             self._drop(req)
 
+    # Leaving
+
+    def leave(self, within: float) -> None:
+        """This node stops: the module moves all that stands, in its own pace, within that time."""
+        if not self.leaving:
+            self.leaving = True
+            self.feed(api.Leaving(self.now() + within))
+
+    def move_all(self) -> None:
+        """Guards against connections that still stand when the time to leave is over."""
+        for req in list(self.reqs.values()):
+            self.move(req)
+
     # Standing sessions
 
     def heard(self, req: Req) -> None:
--- a/gradegap/interface.py
+++ b/gradegap/interface.py
@@ -221,7 +221,24 @@
     report: Mapping[str, float] | None = None
 
 
-Event = ServerList | Request | Inherited | Established | Note | Outcome | ClientGone | Timer | ProbeResult
+class Leaving(NamedTuple):
+    """This proxy is about to stop: every connection it holds must have been told to move by then."""
+
+    by: float
+
+
+Event = (
+    ServerList
+    | Request
+    | Inherited
+    | Established
+    | Note
+    | Outcome
+    | ClientGone
+    | Timer
+    | ProbeResult
+    | Leaving
+)
 
 
 # Actions
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,69 @@
+"""What stands is told to move before its server, or this proxy itself, leaves; a few at a time."""
+
+from __future__ import annotations
+
+import pytest
+
+from gradegap import choice
+from gradegap import interface as api
+from tests.helpers import Driver
+from tests.test_trouble import stood_on_one
+
+
+def moves_until(d: Driver, first: list[api.Action], token: str, end: float) -> list[tuple[float, int]]:
+    """Run the named timer until `end`; when and how many connections were moved."""
+    seen = [(d.now, sum(isinstance(a, api.Move) for a in first))]
+    out = first
+    while timers := [a for a in out if isinstance(a, api.SetTimer) and a.token == token]:
+        if d.now + timers[0].wait > end:
+            break
+        out = d.feed(api.Timer(token), after=timers[0].wait)
+        for move in [a for a in out if isinstance(a, api.Move)]:
+            d.feed(api.Outcome(move.id, 0, "s0", api.Result.CANCELLED, 1.0, True))
+        seen.append((d.now, sum(isinstance(a, api.Move) for a in out)))
+    return seen
+
+
+def drain(d: Driver, phase: api.Phase) -> list[api.Action]:
+    entry = api.ServerEntry("s0", phase=phase)
+    return d.feed(api.ServerList(api.ListKind.DELTA, (entry,)))
+
+
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+def test_clients_are_told_before_their_server_leaves(phase: api.Phase) -> None:
+    """The module once left them there until they were cut off."""
+    d = Driver(servers=2)
+    stood_on_one(d, 20)
+    held, told = len(d.balancer.servers["s0"].held), d.now
+    seen = moves_until(d, drain(d, phase), "es0", told + 10.0)
+    moved = [(at, n) for at, n in seen if n]
+    assert sum(n for _, n in moved) == held
+    assert moved[-1][0] <= told + choice.LEAD * choice.LEAD_TO + 2 * choice.LEAVE_TICK
+    assert max(n for _, n in moved) <= held / 2  # paced
+
+
+def test_a_server_that_stopped_early_makes_the_next_moves_earlier() -> None:
+    d = Driver(servers=2)
+    stood_on_one(d, 3)
+    drain(d, api.Phase.DRAINING)
+    d.now += 1.5
+    for r in list(d.balancer.servers["s0"].held.values()):
+        d.feed(api.Outcome(r.id, 0, "s0", api.Result.RESET, 1.0, True))
+    assert d.balancer.lead == pytest.approx(1.5)
+
+
+def test_a_server_that_is_ready_again_keeps_what_it_holds() -> None:
+    d = Driver(servers=2)
+    stood_on_one(d, 5)
+    out = drain(d, api.Phase.DRAINING)
+    drain(d, api.Phase.READY)
+    assert not sum(n for _, n in moves_until(d, out, "es0", d.now + 10.0))
+
+
+def test_a_proxy_that_leaves_moves_all_it_holds_in_time_and_in_rounds() -> None:
+    d = Driver(servers=2)
+    stood_on_one(d, 20)
+    by = d.now + 2.0
+    seen = moves_until(d, d.feed(api.Leaving(by)), "leave", by + 0.2)
+    assert sum(n for _, n in seen) == 20
+    assert max(n for _, n in seen) <= 4
