Add the QUIC front: client sessions found by connection id, with process tests

The second front terminates QUIC with aioquic and carries the same lines on the connection's first stream; answers, deadlines and moves go through the same ClientSession and core, then the connection closes with a named application error code. It owns the map of issued ids, so a client at a new address is the same session: tests with real QUIC clients that change port, with the same id and with a new one, see no new req and no new fetch. Hard cases tested: an id never issued, an id whose backend began to drain two seconds ago, garbage, a deadline, all refused, much data both ways.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -8,7 +8,7 @@
 import zlib
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import structlog
@@ -19,8 +19,12 @@
 from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
 from gradegap.net.client_session import TcpChannel
 from gradegap.net.director import Director, Listing
+from gradegap.operator_file import OperatorSettings, QuicSettings
 from gradegap.stats import Stats
 
+if TYPE_CHECKING:
+    from gradegap.quic.front import QuicFront
+
 log = structlog.get_logger()
 
 LEAVE_MOVES = 2.6  # s from SIGTERM until the module has moved what stands
@@ -96,8 +100,12 @@
 class Node:
     """One node: the core, its ports and its fronts on one loop."""
 
-    def __init__(self, setup: Setup, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, setup: Setup, loop: asyncio.AbstractEventLoop, operator: OperatorSettings | None = None
+    ) -> None:
         self.setup = setup
+        self.operator = operator or OperatorSettings()
+        self.quic: QuicFront | None = None
         self.loop = loop
         self.stats = Stats()
         self.backends = Backends(loop, setup.settings.connect_timeout)
@@ -128,8 +136,22 @@
             self.server = await self.loop.create_server(channel, host, port, backlog=1024)
         except OSError as error:
             raise BadConfig(f"can't listen on {config.listen}: {error.strerror}") from None
+        if self.operator.quic is not None:
+            await self._start_quic(self.operator.quic)
         log.info("listening", name=config.name, address=config.listen)
 
+    async def _start_quic(self, settings: QuicSettings) -> None:
+        # Loaded here: a node without this front does without its libraries' memory.
+        from gradegap.quic.front import QuicFront
+
+        try:
+            self.quic = front = QuicFront(self.core, self.stats, lambda: self.ready, settings)
+            address = split_address(settings.listen)
+            await self.loop.create_datagram_endpoint(lambda: front, local_addr=address)
+        except (OSError, ValueError) as error:
+            raise BadConfig(f"the QUIC front can't start: {error}") from None
+        log.info("listening", quic=settings.listen)
+
     def _get_ready(self) -> None:
         self.ready = not self.leaving
 
@@ -147,7 +169,9 @@
 
     def _look_empty(self) -> None:
         # Idle connections of a front don't hold the node; answers on their way out do.
-        if self.core.reqs or any(c.session.opening for c in self.channels):
+        answering = any(c.session.opening for c in self.channels)
+        answering = answering or (self.quic is not None and self.quic.answering())
+        if self.core.reqs or answering:
             self.loop.call_later(0.05, self._look_empty)
         else:
             self._end()
@@ -155,6 +179,8 @@
     def _end(self) -> None:
         if self.server is not None:
             self.server.close()
+        if self.quic is not None:
+            self.quic.close()
         if not self.done.done():
             self.done.set_result(None)
 
@@ -162,14 +188,14 @@
         log.info("counters", **self.stats.snapshot())
 
 
-def run(setup: Setup) -> None:
+def run(setup: Setup, operator: OperatorSettings | None = None) -> None:
     """Serve until a signal ends it."""
     import uvloop
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
         raise_descriptor_limit(setup.config.limits.sockets)
-        node = Node(setup, loop)
+        node = Node(setup, loop, operator)
         loop.add_signal_handler(signal.SIGUSR1, node.print_counters)
         loop.add_signal_handler(signal.SIGTERM, node.stop)
         await node.start()
--- a/gradegap/cli.py
+++ b/gradegap/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 
 import structlog
@@ -10,16 +11,26 @@
 
 from gradegap.app import BadConfig, Setup, load
 from gradegap.app import run as run_node
+from gradegap.operator_file import BadOperatorFile, OperatorSettings, load_operator
 
 app = typer.Typer(add_completion=False, help="gradegap places player connections on save servers.")
 
 
-def _load(path: str | None) -> Setup:
+CONFIG = typer.Option(None, help="configuration file, instead of NODE_CONFIG")
+OPERATOR = typer.Option(None, help="operator's file, instead of GRADEGAP_OPERATOR; see deploy/operator.toml")
+
+
+def _load(config: str | None, operator: str | None) -> tuple[Setup, OperatorSettings]:
     try:
-        return load(path)
-    except BadConfig as error:
-        sys.stderr.write(f"gradegap: {error}\n")
-        raise typer.Exit(2) from None
+        return load(config), load_operator(operator or os.environ.get("GRADEGAP_OPERATOR"))
+    except (BadConfig, BadOperatorFile) as error:
+        raise _stop(error) from None
+
+
+def _stop(error: Exception) -> typer.Exit:
+    """One plain line, and an exit that is not zero."""
+    sys.stderr.write(f"gradegap: {' '.join(str(error).split())}\n")
+    return typer.Exit(2)
 
 
 @app.callback(invoke_without_command=True)
@@ -35,27 +46,27 @@
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
     if context.invoked_subcommand is None:
-        serve(None)
+        serve(None, None)
 
 
 @app.command()
-def serve(config: str | None = typer.Option(None, help="configuration file, instead of NODE_CONFIG")) -> None:
+def serve(config: str | None = CONFIG, operator: str | None = OPERATOR) -> None:
     """Run one node until SIGTERM."""
-    setup = _load(config)
+    setup, settings = _load(config, operator)
     try:
-        run_node(setup)
+        run_node(setup, settings)
     except BadConfig as error:
-        sys.stderr.write(f"gradegap: {error}\n")
-        raise typer.Exit(2) from None
+        raise _stop(error) from None
 
 
 @app.command()
-def check(config: str | None = typer.Option(None, help="configuration file, instead of NODE_CONFIG")) -> None:
+def check(config: str | None = CONFIG, operator: str | None = OPERATOR) -> None:
     """Read a configuration, and say what a node would start with."""
-    setup = _load(config)
+    setup, extra = _load(config, operator)
     s = setup.settings
     typer.echo(f"name {setup.config.name}, listen {setup.config.listen}, discovery {setup.config.discovery}")
     typer.echo(f"classes {', '.join(s.classes)}; zone {s.zone or '-'}; {s.balancers} nodes")
+    typer.echo(f"QUIC front {extra.quic.listen if extra.quic else 'off'}")
     typer.echo(f"{len(setup.config.known.servers)} backends known")
 
 
--- /dev/null
+++ b/gradegap/quic/__init__.py
@@ -0,0 +1,1 @@
+"""The second front: client sessions over QUIC, found by their connection ids."""
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,230 @@
+"""The real program as a process, met by stand-ins as its clients, save servers and discovery."""
+
+from __future__ import annotations
+
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.world import ROOT, Backend, hard_reset, wait_for, world
+
+
+def test_a_served_client_gets_its_receipt_and_lines_pass_both_ways(tmp_path: Path) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        c.send(b"OPEN 9b1f 7f3a c=live,d=15")  # in pieces, with bytes behind the first line
+        c.send(b"00,g=1,h=7\r\nhello\r\npar")
+        assert c.line() == "UP a"
+        assert c.line() == "hello"
+        c.send(b"t\r\n")
+        assert c.line() == "part"
+        (first,) = b.opens
+        assert re.fullmatch(r"OPEN 9b1f 7f3a c=live,d=\d+,g=1,h=7", first)
+        assert 0 < int(re.findall(r"d=(\d+)", first)[0]) <= 1500
+        big = b"x" * 300_000 + b"\r\n"  # flow control: more than any buffer holds
+        c.sock.sendall(big)
+        assert c.file.readline() == big
+        b.standing[0].sendall(b"LOAD 3.5\r\nBYE\r\n")
+        assert c.line() == "LOAD 3.5"
+        b.standing[0].shutdown(socket.SHUT_RDWR)
+        assert [c.line(), c.line()] == ["BYE", ""]
+        wait_for(lambda: w.counters().get("ended_ok") == "1")
+
+
+@pytest.mark.parametrize(
+    ("raw", "answer"),
+    [
+        (b"PING\r\n", "PONG"),
+        (b"x" * 5000, "ERR"),
+        (b"OPEN " + b"x" * 4100 + b"\r\n", "ERR"),
+        (b"OPEN 1 2 c=live,d=1000\xff\r\n", "ERR"),
+        (b"OPEN 1 2 c=unknown,d=1000\r\n", "ERR"),
+        (b"GET / HTTP/1.1\r\n\r\n", "ERR"),
+        (b"OPEN 1 2 c=live,d=1000,at=s-nobody\r\n", "ERR"),
+    ],
+)
+def test_first_lines_that_open_nothing(tmp_path: Path, raw: bytes, answer: str) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        c.sock.sendall(raw)
+        assert c.line() == answer
+        assert answer == "PONG" or c.line() == ""
+        assert not b.opens
+
+
+@pytest.mark.parametrize(
+    ("answer", "told", "counted"),
+    [
+        ("BUSY inflight=9", "BUSY", "fetch_full"),
+        ("ERR", "BUSY", "fetch_error"),
+        ("reset", "BUSY", "fetch_reset"),
+        ("MOVE", "BUSY", "fetch_cancelled"),
+        ("BYE", "BUSY", "fetch_error"),
+        ("silence", "BUSY", "fetch_timeout"),
+    ],
+)
+def test_attempts_that_come_to_nothing_end_in_one_answer(
+    tmp_path: Path, answer: str, told: str, counted: str
+) -> None:
+    b = Backend("a", answer)
+    with world(tmp_path, [b]) as w:
+        c, began = w.client(), time.time()
+        said = c.ask("c=live,d=900,g=1")
+        assert re.fullmatch(rf"{told}( \d+)?", said)
+        assert time.time() - began < 0.9 + 0.07
+        assert c.line() == ""
+        assert 1 <= len(b.opens) <= 4
+        assert int(w.counters()[counted]) == len(b.opens)
+
+
+def test_a_refused_dial_goes_to_the_other_backend(tmp_path: Path) -> None:
+    dead, alive = Backend("a"), Backend("b")
+    dead.stop()
+    with world(tmp_path, [dead, alive]) as w:
+        for _ in range(8):
+            assert w.client().ask() == "UP b"
+
+
+def test_a_client_that_leaves_abandons_its_fetch(tmp_path: Path) -> None:
+    b = Backend("a", "silence")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        c.send("OPEN 1 2 c=live,d=1700,g=1")
+        wait_for(lambda: b.opens)
+        c.sock.shutdown(socket.SHUT_WR)
+        wait_for(lambda: b.ended, 0.5)
+        assert w.counters()["client_gone"] == "1" and len(b.opens) == 1
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("side", ["client", "backend"])
+def test_the_end_of_one_side_is_passed_on_in_kind(tmp_path: Path, side: str, how: str) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        assert c.ask() == "UP a"
+        began = time.time()
+        if side == "client" and how == "end":
+            c.sock.shutdown(socket.SHUT_WR)
+        elif side == "client":
+            hard_reset(c.sock)
+        elif how == "end":
+            b.standing[0].shutdown(socket.SHUT_WR)
+        else:
+            c.send("reset")
+        if side == "client":
+            wait_for(lambda: b.ended == [how], 1.0)
+        elif how == "end":
+            assert c.line() == ""
+        else:
+            with pytest.raises(ConnectionResetError):
+                c.line()
+        assert time.time() - began < 1.0
+
+
+def test_a_drained_backend_gets_nothing_new_and_its_clients_are_moved(tmp_path: Path) -> None:
+    a, b = Backend("a"), Backend("b")
+    with world(tmp_path, [a, b]) as w:
+        clients = [w.client() for _ in range(8)]
+        names = [c.ask(ident=f"{k}") for k, c in enumerate(clients)]
+        on_a = [c for c, name in zip(clients, names, strict=True) if name == "UP a"]
+        told = w.director.tell(a, state="Terminating")
+        for c in on_a:
+            assert [c.line(), c.line()] == ["MOVE", ""]
+        assert time.time() - told < 4.2
+        before = len(a.lines)
+        assert {w.client().ask() for _ in range(8)} == {"UP b"}
+        assert not [line for at, line in a.lines[before:] if at > told + 2.0]
+
+
+def test_a_standing_connection_that_goes_silent_is_moved_in_time(tmp_path: Path) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        assert c.ask() == "UP a"
+        b.standing.clear()  # from now on it echoes nothing
+        c.send("are you there")
+        began = time.time()
+        assert [c.line(), c.line()] == ["MOVE", ""]
+        assert 3.0 < time.time() - began < 6.5
+
+
+def test_a_move_waits_for_the_end_of_a_line(tmp_path: Path) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        assert c.ask() == "UP a"
+        b.standing[0].sendall(b"half of")
+        wait_for(lambda: c.sock.recv(16, socket.MSG_PEEK) == b"half of")
+        w.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: "leaving" in w.log.read_text())
+        time.sleep(0.45)  # the module moves it meanwhile
+        b.standing[0].sendall(b" a line\r\n")
+        assert [c.line(), c.line(), c.line()] == ["half of a line", "MOVE", ""]
+
+
+def test_a_connection_from_before_the_run_stays_where_it_is(tmp_path: Path) -> None:
+    a, b = Backend("a"), Backend("b")
+    with world(tmp_path, [a, b]) as w:
+        for k in range(6):
+            assert w.client().ask(f"c=live,d=4294967,g=1,at=s-{'ab'[k % 2]}") == f"UP {'ab'[k % 2]}"
+        assert [len(a.opens), len(b.opens)] == [3, 3]
+
+
+def test_sigterm_answers_all_moves_all_and_ends(tmp_path: Path) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        clients = [w.client() for _ in range(10)]
+        assert {c.ask() for c in clients} == {"UP a"}
+        began = time.time()
+        w.process.send_signal(signal.SIGTERM)
+        wait_for(lambda: "leaving" in w.log.read_text())
+        late = w.client()
+        assert late.ask() == "UP a"
+        for c in [*clients, late]:
+            assert [c.line(), c.line()] == ["MOVE", ""]
+        assert w.process.wait(4) == 0
+        assert time.time() - began < 3.7
+
+
+def test_the_watch_goes_on_at_once_and_survives_bad_answers(tmp_path: Path) -> None:
+    a, b = Backend("a"), Backend("b")
+    with world(tmp_path, [a]) as w:
+        d = w.director
+        d.garbage += [b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2}"]
+        d.garbage += [b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b""]
+        d.tell(a, weight=0.5)
+        assert w.client().ask() == "UP a"  # the last list is kept
+        wait_for(lambda: not d.garbage)
+        d.tell(b)
+        wait_for(lambda: w.client().ask() == "UP b")
+        answers, calls = d.answered[-2:], [at for at, _ in d.calls]
+        assert all(any(0 <= at - answer < 0.2 for at in calls) for answer in answers)
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("{", "no configuration"),
+        ('{"name":"n","listen":"x","discovery":"127.0.0.1:1","settings":{}}', "listen"),
+        ('{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}', "no class"),
+        ('{"name":"n","listen":"127.0.0.1:1"}', "discovery"),
+        (None, "can't be read"),
+    ],
+)
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, named: str) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    command = [sys.executable, "-m", "gradegap", "serve", "--config", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, timeout=20)
+    assert done.returncode != 0
+    assert done.stderr.count("\n") == 1 and named in done.stderr
--- /dev/null
+++ b/tests/test_quic.py
@@ -0,0 +1,282 @@
+"""The QUIC front of the real program: real QUIC clients on loopback, some of which change address."""
+
+from __future__ import annotations
+
+import datetime
+import os
+import re
+import select
+import signal
+import socket
+import ssl
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+from aioquic.quic import events
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
+from gradegap.quic.front import CloseCode
+from tests.world import Backend, World, free_port, wait_for, world
+
+
+def make_certificate(folder: Path) -> None:
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "localhost")])
+    now = datetime.datetime.now(datetime.UTC)
+    builder = x509.CertificateBuilder(name, name, key.public_key(), x509.random_serial_number())
+    builder = builder.not_valid_before(now - datetime.timedelta(days=1))
+    made = builder.not_valid_after(now + datetime.timedelta(days=1)).sign(key, hashes.SHA256())
+    (folder / "cert.pem").write_bytes(made.public_bytes(serialization.Encoding.PEM))
+    private = key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
+    (folder / "key.pem").write_bytes(private)
+
+
+class QuicClient:
+    """A game client that speaks QUIC; `hop` gives it a new address, as a phone on another network."""
+
+    def __init__(self, port: int) -> None:
+        config = QuicConfiguration(is_client=True, alpn_protocols=["gradegap/1"], verify_mode=ssl.CERT_NONE)
+        self.peer = ("127.0.0.1", port)
+        self.quic = QuicConnection(configuration=config)
+        self.socks = [self._socket()]
+        self.ids: set[bytes] = set()  # the node's ids that its packets were sent to
+        self.data = b""
+        self.closed: events.ConnectionTerminated | None = None
+        self.shook = self.ended = False
+        self.quic.connect(self.peer, now=time.time())
+        self.until(lambda: self.shook)
+
+    def _socket(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(("127.0.0.1", 0))
+        return sock
+
+    def hop(self, new_id: bool = False) -> None:
+        """From now on from another port; the old one hears nothing more."""
+        self.socks.append(self._socket())
+        self.socks.pop(0).close()
+        if new_id:
+            self.quic.change_connection_id()
+
+    def step(self, wait: float = 0.01) -> None:
+        for data, _ in self.quic.datagrams_to_send(now=time.time()):
+            if not data[0] & 0x80:
+                self.ids.add(data[1:9])
+            self.socks[0].sendto(data, self.peer)
+        if select.select(self.socks, [], [], wait)[0]:
+            data, address = self.socks[0].recvfrom(65536)
+            self.quic.receive_datagram(data, address, now=time.time())
+        timer = self.quic.get_timer()
+        if timer is not None and timer <= time.time():
+            self.quic.handle_timer(now=time.time())
+        while (event := self.quic.next_event()) is not None:
+            if isinstance(event, events.HandshakeCompleted):
+                self.shook = True
+            elif isinstance(event, events.StreamDataReceived):
+                self.data += event.data
+                self.ended = self.ended or event.end_stream
+            elif isinstance(event, events.ConnectionTerminated):
+                self.closed = event
+
+    def until(self, true: object, within: float = 5.0) -> None:
+        assert callable(true)
+        end = time.monotonic() + within
+        while not true():
+            assert time.monotonic() < end, f"it never came about; heard {self.data[-80:]!r}"
+            self.step()
+
+    def send(self, line: bytes, end: bool = False) -> None:
+        self.quic.send_stream_data(0, line, end_stream=end)
+        self.step(0)
+
+    def line(self, within: float = 5.0) -> str:
+        self.until(lambda: b"\n" in self.data, within)
+        line, _, self.data = self.data.partition(b"\r\n")
+        return line.decode()
+
+    def ask(self, fields: str = "c=live,d=1500,g=1", ident: str = "9b1f") -> str:
+        self.send(f"OPEN {ident} 7f3a {fields}\r\n".encode())
+        return self.line()
+
+    def code(self) -> CloseCode:
+        """The application error code that the node closes the connection with."""
+        self.until(lambda: self.closed is not None)
+        assert self.closed is not None and self.closed.frame_type is None
+        assert self.closed.reason_phrase == CloseCode(self.closed.error_code).name.lower()
+        return CloseCode(self.closed.error_code)
+
+
+@contextmanager
+def quic_world(folder: Path, backends: list[Backend]) -> Iterator[tuple[World, int]]:
+    make_certificate(folder)
+    port = free_port(socket.SOCK_DGRAM)
+    operator = f"""[quic]
+listen = "127.0.0.1:{port}"
+certificate = "{folder}/cert.pem"
+private_key = "{folder}/key.pem"
+"""
+    with world(folder, backends, operator) as w:
+        yield w, port
+
+
+@pytest.mark.parametrize("new_id", [False, True])
+def test_migrated_clients_keep_their_server_and_open_no_new_req(tmp_path: Path, new_id: bool) -> None:
+    a, b = Backend("a"), Backend("b")
+    with quic_world(tmp_path, [a, b]) as (w, port):
+        clients = [QuicClient(port) for _ in range(6)]
+        names = [c.ask(ident=f"{k}") for k, c in enumerate(clients)]
+        assert set(names) <= {"UP a", "UP b"}
+        before = w.counters()
+        opens = [*a.opens, *b.opens]
+        for hop in range(2):
+            for k, c in enumerate(clients):
+                c.hop(new_id)
+                c.send(f"still {k} {hop}\r\n".encode())
+                assert c.line() == f"still {k} {hop}"
+        for k, c in enumerate(clients):
+            server = a if names[k] == "UP a" else b
+            assert [line for _, line in server.lines if line.startswith(f"still {k} ")] == [
+                f"still {k} 0",
+                f"still {k} 1",
+            ]
+            assert len(c.ids) == (2 if new_id else 1)
+        after = w.counters()
+        assert [*a.opens, *b.opens] == opens and len(opens) == 6
+        assert before["taken"] == after["taken"] == "6" and before["sent"] == after["sent"]
+        assert int(after["quic_migrations"]) >= 12
+        assert len(a.standing) + len(b.standing) == 6
+
+
+@pytest.mark.parametrize(
+    ("answer", "said", "code"),
+    [
+        ("BUSY", r"BUSY \d+", CloseCode.REFUSED),
+        ("silence", r"BUSY \d+|BUSY|ERR", CloseCode.REFUSED),
+        ("ERR", r"BUSY \d+", CloseCode.REFUSED),
+    ],
+)
+def test_answers_come_in_time_then_a_close_with_their_code(
+    tmp_path: Path, answer: str, said: str, code: CloseCode
+) -> None:
+    b = Backend("a", answer)
+    with quic_world(tmp_path, [b]) as (w, port):
+        c, began = QuicClient(port), time.time()
+        assert re.fullmatch(said, c.ask("c=live,d=900,g=1"))
+        assert time.time() - began < 0.9 + 0.07
+        assert c.code() is code and c.ended
+        assert 1 <= len(b.opens) <= 4
+        assert w.counters()["taken"] == "1"
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [b"x" * 5000, b"OPEN 1 2 c=live,d=\xff\r\n", b"OPEN 1 2 c=none,d=5\r\n", b"GET / HTTP/1.1\r\n"],
+)
+def test_garbage_on_the_stream_gets_one_failure_line(tmp_path: Path, raw: bytes) -> None:
+    b = Backend("a")
+    with quic_world(tmp_path, [b]) as (w, port):
+        c = QuicClient(port)
+        c.send(raw)
+        assert c.line() == "ERR"
+        assert c.code() is CloseCode.BAD_LINE
+        assert not b.opens and "taken" not in w.counters()
+
+
+def test_ids_that_were_never_issued_reach_nobody(tmp_path: Path) -> None:
+    b = Backend("a")
+    with quic_world(tmp_path, [b]) as (w, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            stranger.settimeout(0.3)
+            for _ in range(5):
+                stranger.sendto(b"\x40" + os.urandom(8) + os.urandom(60), ("127.0.0.1", port))
+            stranger.sendto(b"\xff", ("127.0.0.1", port))
+            wait_for(lambda: w.counters().get("quic_unknown_id") == "5")
+            with pytest.raises(TimeoutError):
+                stranger.recv(2048)
+        counters = w.counters()
+        assert counters["taken"] == "1" and len(b.opens) == 1
+        c.send(b"untouched\r\n")
+        assert c.line() == "untouched"
+
+
+def test_an_id_whose_backend_drains_stays_and_is_moved_and_nothing_new_goes_there(tmp_path: Path) -> None:
+    a, b = Backend("a"), Backend("b")
+    with quic_world(tmp_path, [a, b]) as (w, port):
+        clients = [QuicClient(port) for _ in range(8)]
+        names = [c.ask(ident=f"{k}") for k, c in enumerate(clients)]
+        on_a = [c for c, name in zip(clients, names, strict=True) if name == "UP a"]
+        assert on_a
+        told = w.director.tell(a, state="Terminating")
+        while time.time() < told + 2.05:
+            for c in clients:
+                c.step(0.005)
+        for k, c in enumerate(on_a):  # it began to drain two seconds ago: the session is still there
+            c.hop()
+            c.send(f"here {k}\r\n".encode())
+            assert c.line() == f"here {k}"
+        assert {QuicClient(port).ask() for _ in range(6)} == {"UP b"}
+        assert {c.line() for c in on_a} == {"MOVE"}
+        assert time.time() - told < 4.2
+        assert {c.code() for c in on_a} == {CloseCode.MOVED}
+        late = [line for at, line in a.lines if at > told + 2.0 and not line.startswith("here")]
+        assert late == []
+
+
+@pytest.mark.parametrize("who", ["client", "backend"])
+def test_the_end_of_one_side_ends_the_other(tmp_path: Path, who: str) -> None:
+    b = Backend("a")
+    with quic_world(tmp_path, [b]) as (_, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        if who == "client":
+            c.send(b"last\r\n", end=True)
+            wait_for(lambda: b.ended == ["end"] and b.lines[-1][1] == "last")
+        else:
+            b.standing[0].shutdown(socket.SHUT_WR)
+        assert c.code() is CloseCode.SERVED
+
+
+def test_a_client_that_closes_abandons_its_fetch(tmp_path: Path) -> None:
+    b = Backend("a", "silence")
+    with quic_world(tmp_path, [b]) as (w, port):
+        c = QuicClient(port)
+        c.send(b"OPEN 1 2 c=live,d=1700,g=1\r\n")
+        wait_for(lambda: b.opens)
+        c.quic.close()
+        c.step(0)
+        wait_for(lambda: b.ended, 0.5)
+        assert w.counters()["client_gone"] == "1" and len(b.opens) == 1
+
+
+def test_a_node_that_leaves_moves_its_quic_sessions(tmp_path: Path) -> None:
+    b = Backend("a")
+    with quic_world(tmp_path, [b]) as (w, port):
+        clients = [QuicClient(port) for _ in range(3)]
+        assert {c.ask() for c in clients} == {"UP a"}
+        w.process.send_signal(signal.SIGTERM)
+        for c in clients:
+            assert c.line() == "MOVE"
+            assert c.code() is CloseCode.MOVED
+        assert w.process.wait(4) == 0
+
+
+def test_much_data_both_ways_stays_whole(tmp_path: Path) -> None:
+    b = Backend("a")
+    with quic_world(tmp_path, [b]) as (_, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        big = os.urandom(200_000).hex().encode() + b"\r\n"
+        c.send(big)
+        c.until(lambda: len(c.data) >= len(big), 20.0)
+        assert c.data == big
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,252 @@
+"""Stand-ins on loopback for all that a node meets: save servers, discovery and clients."""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS: dict[str, Any] = {
+    "Bounds": {"ConnectTimeoutNs": 200_000_000, "MaxAttempts": 4, "MaxRetryAfterNs": 1_000_000_000}
+    | {"Probes": True, "RetryAfter": True},
+    "FamilyInfo": {"MessageAimNs": [50_000_000], "Mode": "proxy", "TenantQuotaConnections": []},
+    "Lanes": [{"Name": "live", "AimNs": 300_000_000, "HardLimitNs": 1_800_000_000, "Points": 5.0}],
+    "MembershipMode": "pushed",
+    "ReplicasOfMe": 3,
+    "Rules": {"DrainGraceNs": 2_000_000_000, "AnswerSlackNs": 20_000_000, "ColdShare": 0.13}
+    | {"ColdNs": 24_000_000_000, "FallNs": 3_000_000_000, "FallMultiple": 2.5},
+    "Telemetry": {"Source": "on_probe", "Fields": ["x0", "concurrent"]},
+    "Tenants": None,
+    "Weights": "live",
+}
+
+
+def wait_for(true: Callable[[], Any], within: float = 5.0) -> Any:
+    """What `true` gives, once it gives something."""
+    end = time.monotonic() + within
+    while not (seen := true()):
+        assert time.monotonic() < end, "it never came about"
+        time.sleep(0.005)
+    return seen
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def hard_reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    os.close(sock.detach())
+
+
+class Backend:
+    """A save server: logs every line it receives, answers OPEN with `answer`, then echoes."""
+
+    def __init__(self, name: str, answer: str = "UP {name}", load: str = "x0=0.05,inflight=40") -> None:
+        self.name, self.answer, self.load = name, answer, load
+        self.lines: list[tuple[float, str]] = []
+        self.standing: list[socket.socket] = []
+        self.ended: list[str] = []
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.entry = {"id": f"s-{name}", "addr": self.address, "zone": "z", "state": "Ready"}
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def opens(self) -> list[str]:
+        return [line for _, line in self.lines if line.startswith("OPEN")]
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            for raw in sock.makefile("rb"):
+                line = raw.decode().rstrip("\r\n")
+                self.lines.append((time.time(), line))
+                if line == "STATS":
+                    sock.sendall(f"PONG {self.load}\r\n".encode())
+                elif sock in self.standing and line == "reset":
+                    hard_reset(sock)
+                    return
+                elif sock in self.standing:
+                    sock.sendall(raw)
+                elif line.startswith("OPEN") and self.answer == "reset":
+                    hard_reset(sock)
+                    return
+                elif line.startswith("OPEN") and self.answer != "silence":
+                    sock.sendall(self.answer.format(name=self.name).encode() + b"\r\n")
+                    if not self.answer.startswith("UP"):
+                        break
+                    self.standing.append(sock)
+            self.ended.append("end")
+        except OSError:
+            self.ended.append("reset")
+        sock.close()
+
+    def stop(self) -> None:
+        """No longer listening: new connections are refused."""
+        with socket.create_connection(self.listener.getsockname()):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+
+class Director:
+    """Discovery: answers with what `entries` holds, and holds a watch until `tell` changes it."""
+
+    def __init__(self, entries: list[dict[str, Any]]) -> None:
+        self.changed = threading.Condition()
+        self.entries = {e["id"]: e for e in entries}
+        self.version = 1
+        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self.calls: list[tuple[float, str]] = []
+        self.answered: list[float] = []
+        self.garbage: list[bytes] = []  # what the next answers are instead
+        director = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                director.calls.append((time.time(), self.path))
+                if director.garbage:
+                    self.wfile.write(director.garbage.pop(0))
+                    self.close_connection = True
+                    return
+                body = json.dumps(director.answer(parse_qs(urlsplit(self.path).query))).encode()
+                self.send_response(200)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+                director.answered.append(time.time())
+
+            def log_message(self, *args: Any) -> None:
+                pass
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.server.handle_error = lambda *args: None  # type: ignore[method-assign]
+        self.address = f"127.0.0.1:{self.server.server_port}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def answer(self, query: dict[str, list[str]]) -> dict[str, Any]:
+        with self.changed:
+            if "index" not in query:
+                return {"version": self.version, "full": True, "servers": list(self.entries.values())}
+            index = int(query["index"][0])
+            self.changed.wait_for(lambda: self.version > index, int(query["wait"][0]) / 1000)
+            news = {e["id"]: e for version, e in self.changes if version > index}
+            return {"version": self.version, "full": False, "servers": list(news.values())}
+
+    def tell(self, backend: Backend, **changes: Any) -> float:
+        with self.changed:
+            self.version += 1
+            self.entries[backend.entry["id"]] = entry = {**backend.entry, **changes}
+            self.changes.append((self.version, entry))
+            self.changed.notify_all()
+        wait_for(lambda: any(f"index={self.version}&" in path for _, path in list(self.calls)))
+        return time.time()
+
+
+class Client:
+    """A game client on the line front."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.sock = socket.create_connection((host, int(port)), timeout=8)
+        self.file = self.sock.makefile("rb")
+
+    def send(self, line: str | bytes) -> None:
+        self.sock.sendall(line if isinstance(line, bytes) else line.encode() + b"\r\n")
+
+    def line(self) -> str:
+        """The next line; empty at the end of the connection."""
+        return self.file.readline().decode().rstrip("\r\n")
+
+    def ask(self, fields: str = "c=live,d=1500,g=1", ident: str = "9b1f") -> str:
+        self.send(f"OPEN {ident} 7f3a {fields}")
+        return self.line()
+
+    def quiet(self, for_s: float) -> bool:
+        return not select.select([self.sock], [], [], for_s)[0]
+
+
+class World:
+    """A node as a process, with its backends and its director."""
+
+    def __init__(
+        self, folder: Path, backends: list[Backend], operator: str | None = None, **config: Any
+    ) -> None:
+        self.backends = backends
+        self.director = Director([b.entry for b in backends])
+        self.address = f"127.0.0.1:{free_port()}"
+        path = folder / "config.json"
+        full = {"name": "n0", "listen": self.address, "discovery": self.director.address, "seed": "8c1f"}
+        path.write_text(json.dumps(full | {"settings": SETTINGS} | config))
+        env = os.environ | {"NODE_CONFIG": str(path), "PYTHONUNBUFFERED": "1"}
+        for name in ("NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"):
+            env.pop(name, None)
+        if operator is not None:
+            (folder / "operator.toml").write_text(operator)
+            env["GRADEGAP_OPERATOR"] = str(folder / "operator.toml")
+        self.log = folder / "node.log"
+        with self.log.open("wb") as log:
+            command = [sys.executable, "-m", "gradegap"]
+            self.process = subprocess.Popen(command, env=env, cwd=ROOT, stdout=log, stderr=log)
+
+    def client(self) -> Client:
+        return Client(self.address)
+
+    def ready(self) -> bool:
+        assert self.process.poll() is None, self.log.read_text()
+        try:
+            client = self.client()
+        except OSError:
+            return False
+        client.send("PING")
+        return client.line() == "PONG"
+
+    def counters(self) -> dict[str, str]:
+        """The counters as the program prints them."""
+        before = self.log.read_text().count("event=counters")
+        self.process.send_signal(signal.SIGUSR1)
+        wait_for(lambda: self.log.read_text().count("event=counters") > before)
+        last = [line for line in self.log.read_text().splitlines() if "event=counters" in line][-1]
+        return dict(part.split("=", 1) for part in last.split() if "=" in part)
+
+
+@contextmanager
+def world(
+    folder: Path, backends: list[Backend], operator: str | None = None, **config: Any
+) -> Iterator[World]:
+    made = World(folder, backends, operator, **config)
+    try:
+        wait_for(made.ready, 15.0)
+        yield made
+        assert made.process.poll() in (None, 0), made.log.read_text()
+        assert "Traceback" not in made.log.read_text()
+    finally:
+        made.process.kill()
+        made.process.wait()
+        made.director.server.shutdown()
