Add the replicated store and the DNS-SD director, with process tests

The store keeps operator configuration and node state in versioned keys, last writer wins on a logical clock, anti-entropy with the listed peers over loopback TCP; without peers it is in memory. A node's own state key is written anew over what peers kept of its earlier life. The DNS-SD director reads PTR, SRV and TXT for as long as they live and keeps the last list on failures. Found on the way: a node told its peers 'starting' after 'ready', since the list came while it started.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -16,13 +16,17 @@
 from gradegap import interface as api
 from gradegap import settings as reader
 from gradegap.core import Core
+from gradegap.live import LiveConfig, is_count, is_level, is_switch, set_log_level
 from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
 from gradegap.net.client_session import TcpChannel
 from gradegap.net.director import Director, Listing
-from gradegap.operator_file import OperatorSettings, QuicSettings
+from gradegap.operator_file import OperatorSettings, QuicSettings, StoreSettings
 from gradegap.stats import Stats
+from gradegap.store.sync import Replica
+from gradegap.store.versioned import Store
 
 if TYPE_CHECKING:
+    from gradegap.dnssd import DnsDirector
     from gradegap.quic.front import QuicFront
 
 log = structlog.get_logger()
@@ -110,7 +114,10 @@
         self.stats = Stats()
         self.backends = Backends(loop, setup.settings.connect_timeout)
         self.core = Core(setup.settings, setup.seed, self.backends, self.stats, loop)
-        self.director = Director(self.core, self.backends.dialer, setup.config.discovery, self.stats)
+        self.director: Director | DnsDirector = self._make_director()
+        self.store = Store(setup.config.name)
+        self.live = LiveConfig(self.store, self.stats)
+        self.replica: Replica | None = None
         self.channels: set[TcpChannel] = set()
         self.ready = False
         self.leaving = False
@@ -119,8 +126,17 @@
         self.stats.gauge("open_sessions", lambda: len(self.channels))
         self.stats.gauge("reqs", lambda: len(self.core.reqs))
 
+    def _make_director(self) -> Director | DnsDirector:
+        if self.operator.dnssd is None:
+            return Director(self.core, self.backends.dialer, self.setup.config.discovery, self.stats)
+        from gradegap.dnssd import DnsDirector
+
+        return DnsDirector(self.core, self.operator.dnssd, self.stats)
+
     async def start(self) -> None:
         config = self.setup.config
+        self.live.key("log_level", is_level, set_log_level, "info")
+        self._tell_state("starting")
         known = [item.entry() for item in config.known.servers]
         self.core.listing(api.ListKind.CACHED, known)
         self.director.first = self._get_ready
@@ -138,6 +154,8 @@
             raise BadConfig(f"can't listen on {config.listen}: {error.strerror}") from None
         if self.operator.quic is not None:
             await self._start_quic(self.operator.quic)
+        if self.operator.store is not None:
+            await self._start_store(self.operator.store)
         log.info("listening", name=config.name, address=config.listen)
 
     async def _start_quic(self, settings: QuicSettings) -> None:
@@ -150,10 +168,34 @@
             await self.loop.create_datagram_endpoint(lambda: front, local_addr=address)
         except (OSError, ValueError) as error:
             raise BadConfig(f"the QUIC front can't start: {error}") from None
+        self.live.key("quic_max_sessions", is_count, front.set_most, settings.max_sessions)
+        self.live.key("quic_accept", is_switch, front.set_accept, True)
         log.info("listening", quic=settings.listen)
 
+    async def _start_store(self, settings: StoreSettings) -> None:
+        self.replica = Replica(self.store, self.backends.dialer, self.stats, settings.peers)
+        try:
+            await self.replica.start(settings.listen)
+        except OSError as error:
+            raise BadConfig(f"the store can't listen on {settings.listen}: {error.strerror}") from None
+        log.info("listening", store=settings.listen)
+
+    def _tell_state(self, state: str) -> None:
+        """What this node is doing, for its peers and its operator; never load or choices."""
+        self.store.own(
+            f"node/{self.setup.config.name}",
+            {
+                "state": state,
+                "listen": self.setup.config.listen,
+                "quic": self.operator.quic.listen if self.operator.quic is not None else None,
+                "started_ms": round(self.core.anchor_ms),
+            },
+        )
+
     def _get_ready(self) -> None:
-        self.ready = not self.leaving
+        if not self.leaving and not self.ready:
+            self.ready = True
+            self._tell_state("ready")
 
     def stop(self) -> None:
         """Leave: clients still come for a while, all are answered, all that stands is moved; then end."""
@@ -162,6 +204,7 @@
         log.info("leaving", reqs=len(self.core.reqs))
         self.leaving = True
         self.ready = False
+        self._tell_state("leaving")
         self.core.leave(LEAVE_MOVES)
         self.loop.call_later(LEAVE_AT_LEAST, self._look_empty)
         self.loop.call_later(LEAVE_LAST, self.core.move_all)
@@ -181,6 +224,8 @@
             self.server.close()
         if self.quic is not None:
             self.quic.close()
+        if self.replica is not None:
+            self.replica.close()
         if not self.done.done():
             self.done.set_result(None)
 
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -160,6 +160,7 @@
         self.stats = stats
         self.loop = loop
         self.anchor = time.time() - loop.time()  # once: the clock never jumps, yet compares with started_ms
+        self.anchor_ms = time.time() * 1000  # when this node started, in Unix time
         self.backends: dict[str, Backend] = {}
         self.reqs: dict[int, Req] = {}
         self.next_id = 1
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -19,8 +19,24 @@
     max_sessions: int = 4000
 
 
+class StoreSettings(msgspec.Struct):
+    """The `[store]` table: where this replica listens, and its peers."""
+
+    listen: str
+    peers: tuple[str, ...] = ()
+
+
+class DnsSdSettings(msgspec.Struct):
+    """The `[dnssd]` table: backends from DNS-SD records instead of discovery's HTTP."""
+
+    server: str
+    service: str
+
+
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
     quic: QuicSettings | None = None
+    store: StoreSettings | None = None
+    dnssd: DnsSdSettings | None = None
 
 
 class BadOperatorFile(ValueError):
@@ -36,11 +52,16 @@
         raise BadOperatorFile(f"{path} can't be read: {error.strerror}") from None
     except (msgspec.MsgspecError, ValueError) as error:
         raise BadOperatorFile(f"{path} is no operator's file: {error}") from None
+    if settings.store is not None:
+        for address in (settings.store.listen, *settings.store.peers):
+            loopback(address, "store")
+    if settings.dnssd is not None:
+        loopback(settings.dnssd.server, "dnssd.server")
     return settings
 
 
 def loopback(address: str, name: str) -> None:
-    """Guards against a store on an address that strangers reach: it trusts whoever speaks to it."""
+    """Guards against a store, or an unsigned DNS answer, that strangers reach: both are trusted."""
     host, sign, port = address.rpartition(":")
     try:
         good = bool(sign) and ipaddress.ip_address(host.strip("[]")).is_loopback and 0 <= int(port) < 65536
--- a/gradegap/quic/front.py
+++ b/gradegap/quic/front.py
@@ -264,7 +264,8 @@
         self.loop = core.loop
         self.stats = stats
         self.ready = ready
-        self.settings = settings
+        self.most = settings.max_sessions
+        self.accept = True
         self.transport: asyncio.DatagramTransport | None = None
         self.routes: dict[bytes, QuicChannel] = {}
         self.channels: set[QuicChannel] = set()
@@ -280,6 +281,12 @@
         stats.gauge("quic_sessions", lambda: len(self.channels))
         stats.gauge("quic_ids", lambda: len(self.routes))
 
+    def set_most(self, value: int) -> None:
+        self.most = value
+
+    def set_accept(self, value: bool) -> None:
+        self.accept = value
+
     def issue(self, connection_id: bytes, channel: QuicChannel) -> None:
         channel.ids.add(connection_id)
         self.routes[connection_id] = channel
@@ -323,7 +330,7 @@
 
     def _accept(self, header: Any, data: bytes, addr: Any) -> None:
         under_way = sum(1 for c in self.channels if c.session is None)
-        if len(self.channels) >= self.settings.max_sessions or under_way >= MOST_HANDSHAKES:
+        if not self.accept or len(self.channels) >= self.most or under_way >= MOST_HANDSHAKES:
             # Guards against floods of first packets: over the limit they are dropped, and may come again.
             self.stats.count("quic_crowded")
             return
--- /dev/null
+++ b/tests/test_dnssd.py
@@ -0,0 +1,181 @@
+"""The DNS-SD director of the real program, against a stand-in that answers DNS on loopback."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import dns.flags
+import dns.message
+import dns.rcode
+import dns.rrset
+import pytest
+
+from gradegap import interface as api
+from gradegap.dnssd import BadRecord, read_entry, read_txt
+from tests.world import Backend, World, wait_for, world
+
+SERVICE = "_saves._tcp.prairie.example."
+
+
+class Answerer:
+    """A DNS server over UDP and TCP that answers from `records`, and counts what it is asked."""
+
+    def __init__(self, ttl: int = 1) -> None:
+        self.ttl = ttl
+        self.records: dict[tuple[str, str], list[str]] = {}
+        self.asked: list[tuple[float, str, str]] = []
+        self.mode = "answer"
+        self.sock, self.listener = wait_for(self._sockets)
+        self.port = int(self.sock.getsockname()[1])
+        threading.Thread(target=self._udp, daemon=True).start()
+        threading.Thread(target=self._tcp, daemon=True).start()
+
+    def _sockets(self) -> tuple[socket.socket, socket.socket] | None:
+        """One port for UDP and TCP; None where TCP has it already."""
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        udp.bind(("127.0.0.1", 0))
+        try:
+            return udp, socket.create_server(udp.getsockname())
+        except OSError:
+            udp.close()
+            return None
+
+    def instance(self, b: Backend, txt: str = '"state=Ready" "zone=z" "weight=1"') -> None:
+        name, port = f"s-{b.name}.{SERVICE}", b.address.rpartition(":")[2]
+        ptr = self.records.setdefault((SERVICE, "PTR"), [])
+        if name not in ptr:
+            ptr.append(name)
+        self.records[name, "SRV"] = [f"0 0 {port} {b.name}.prairie.example."]
+        self.records[name, "TXT"] = [txt]
+        self.records[f"{b.name}.prairie.example.", "A"] = ["127.0.0.1"]
+
+    def answer(self, wire: bytes, over_tcp: bool) -> bytes | None:
+        query = dns.message.from_wire(wire)
+        question = query.question[0]
+        name, kind = question.name.to_text(), question.rdtype.name
+        self.asked.append((time.time(), name, kind))
+        reply = dns.message.make_response(query)
+        if self.mode == "silent":
+            return None
+        if self.mode == "garbage":
+            return wire[:2] + b"\xff" * 20
+        if self.mode == "failing":
+            reply.set_rcode(dns.rcode.SERVFAIL)
+        elif self.mode == "truncated" and not over_tcp:
+            reply.flags |= dns.flags.TC
+        elif (name, kind) in self.records:
+            reply.answer.append(
+                dns.rrset.from_text_list(name, self.ttl, "IN", kind, self.records[name, kind])
+            )
+        else:
+            reply.set_rcode(dns.rcode.NXDOMAIN)
+        return reply.to_wire()
+
+    def _udp(self) -> None:
+        while True:
+            wire, address = self.sock.recvfrom(4096)
+            if (answer := self.answer(wire, False)) is not None:
+                self.sock.sendto(answer, address)
+
+    def _tcp(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            with sock:
+                size = int.from_bytes(sock.recv(2), "big")
+                answer = self.answer(sock.recv(size), True) or b""
+                sock.sendall(len(answer).to_bytes(2, "big") + answer)
+
+
+@pytest.fixture
+def answerer() -> Iterator[Answerer]:
+    yield Answerer()
+
+
+def operator(answerer: Answerer) -> str:
+    return f'[dnssd]\nserver = "127.0.0.1:{answerer.port}"\nservice = "{SERVICE}"\n'
+
+
+def served_by(w: World, times: int = 8) -> set[str]:
+    return {w.client().ask() for _ in range(times)}
+
+
+def test_backends_come_go_and_drain_as_their_records_say(tmp_path: Path, answerer: Answerer) -> None:
+    a, b = Backend("a"), Backend("b")
+    answerer.instance(a)
+    with world(tmp_path, [], operator(answerer)) as w:
+        assert served_by(w) == {"UP a"}
+        answerer.instance(b)
+        wait_for(lambda: "UP b" in served_by(w))
+        answerer.instance(a, '"state=Terminating"')
+        wait_for(lambda: served_by(w) == {"UP b"})
+        answerer.records[SERVICE, "PTR"].remove(f"s-b.{SERVICE}")
+        answerer.instance(a, '"state=Ready" "started_ms=1"')
+        wait_for(lambda: served_by(w) == {"UP a"})
+
+
+@pytest.mark.parametrize("mode", ["silent", "garbage", "failing"])
+def test_failures_are_counted_and_the_last_list_is_kept(
+    tmp_path: Path, answerer: Answerer, mode: str
+) -> None:
+    a = Backend("a")
+    answerer.instance(a)
+    with world(tmp_path, [], operator(answerer)) as w:
+        answerer.mode = mode
+        wait_for(lambda: int(w.counters().get("dns_failures", 0)) >= 2, 10.0)
+        assert served_by(w) == {"UP a"}
+        answerer.mode = "answer"
+        b = Backend("b")
+        answerer.instance(b)
+        wait_for(lambda: "UP b" in served_by(w), 10.0)
+
+
+def test_an_answer_too_long_for_udp_is_asked_again_over_tcp(tmp_path: Path, answerer: Answerer) -> None:
+    answerer.instance(Backend("a"))
+    answerer.mode = "truncated"
+    with world(tmp_path, [], operator(answerer)) as w:
+        assert served_by(w) == {"UP a"}
+
+
+def test_a_bad_record_leaves_its_instance_as_it_was(tmp_path: Path, answerer: Answerer) -> None:
+    a, b = Backend("a"), Backend("b")
+    answerer.instance(a)
+    with world(tmp_path, [], operator(answerer)) as w:
+        answerer.instance(a, '"state=Asleep" "weight=heavy"')
+        answerer.instance(b, '"weight=1"')  # never seen well: it is left out
+        wait_for(lambda: int(w.counters().get("dns_bad_instances", 0)) >= 2)
+        assert served_by(w) == {"UP a"}
+
+
+def test_records_are_not_asked_for_again_while_they_live(tmp_path: Path, answerer: Answerer) -> None:
+    answerer.ttl = 3
+    answerer.instance(Backend("a"))
+    with world(tmp_path, [], operator(answerer)):
+        wait_for(lambda: [kind for _, _, kind in answerer.asked].count("PTR") == 3, 12.0)
+    asked = [at for at, _, kind in answerer.asked if kind == "PTR"]
+    assert all(later - earlier >= 2.9 for earlier, later in zip(asked, asked[1:], strict=False))
+
+
+@pytest.mark.parametrize(
+    ("strings", "entry"),
+    [
+        ((b"state=Ready",), api.ServerEntry("s")),
+        (
+            (b"STATE=Terminating", b"zone=x", b"weight=1.5", b"started_ms=2500", b"odd", b"state=Gone"),
+            api.ServerEntry("s", "x", 0, api.Phase.DRAINING, 1.5, 2.5),
+        ),
+    ],
+)
+def test_txt_pairs_are_read_as_the_rfc_says(strings: tuple[bytes, ...], entry: api.ServerEntry) -> None:
+    assert read_entry("s", read_txt(strings)) == entry
+
+
+@pytest.mark.parametrize(
+    "text", ["", "state=", "state=Ready;weight=0", "state=Ready;weight=nan", "state=Ready;started_ms=x"]
+)
+def test_bad_txt_is_told(text: str) -> None:
+    with pytest.raises(BadRecord):
+        read_entry("s", read_txt(tuple(text.encode().split(b";"))))
