--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -10,7 +10,7 @@
 
 from gradegap.core import Attempt, Backend, ProbeDone
 from gradegap.interface import Result
-from gradegap.net.client_session import HIGH_WATER, ClientSession, no_delay, reset
+from gradegap.net.client_session import HIGH_WATER, ClientSession, Pausable, no_delay, reset
 from gradegap.net.framing import LONGEST, parse_report
 
 PROBE_IDLE = 20.0  # s until an idle probe connection is closed
@@ -94,19 +94,17 @@
                 protocol.connection_lost(error)
 
 
-class Fetch(asyncio.Protocol):
+class Fetch(Pausable):
     """One attempt on its own connection: the first line out, the answer in, then lines both ways."""
 
     def __init__(self, session: ClientSession, attempt: Attempt, wait: float) -> None:
         self.session = session
         self.attempt = attempt
         self.wait = wait
-        self.transport: asyncio.Transport | None = None
         self.stop: Callable[[], None] | None = None
         self.sent = False
         self.up = False
         self.over = False
-        self.paused = False
         self.said: Result | None = None  # what the backend's last word makes of its end
         self.report: dict[str, float] | None = None
         self.buffer = b""
@@ -225,16 +223,6 @@
         if self.transport is not None:
             reset(self.transport)
 
-    def pause(self) -> None:
-        if self.transport is not None and not self.paused:
-            self.paused = True
-            self.transport.pause_reading()
-
-    def resume(self) -> None:
-        if self.transport is not None and self.paused:
-            self.paused = False
-            self.transport.resume_reading()
-
     def pause_writing(self) -> None:
         self.session.channel.pause()
 
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -231,16 +231,31 @@
         self.channel.close(ending)
 
 
-class TcpChannel(asyncio.Protocol):
+class Pausable(asyncio.Protocol):
+    """A TCP connection that is not read while the other side takes no more."""
+
+    transport: asyncio.Transport | None = None
+    paused = False
+
+    def pause(self) -> None:
+        if self.transport is not None and not self.paused and not self.transport.is_closing():
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.transport is not None and self.paused:
+            self.paused = False
+            self.transport.resume_reading()
+
+
+class TcpChannel(Pausable):
     """A client's TCP connection."""
 
     def __init__(self, core: Core, stats: Stats, ready: Callable[[], bool], live: set[TcpChannel]) -> None:
         self.loop = core.loop
         self.live = live
-        self.transport: asyncio.Transport | None = None
         self.session = ClientSession(core, stats, self, ready)
         self.closing = False
-        self.paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -273,16 +288,6 @@
         if self.transport is not None and not self.closing:
             self.transport.write(data)
 
-    def pause(self) -> None:
-        if self.transport is not None and not self.paused and not self.closing:
-            self.paused = True
-            self.transport.pause_reading()
-
-    def resume(self) -> None:
-        if self.transport is not None and self.paused:
-            self.paused = False
-            self.transport.resume_reading()
-
     def close(self, ending: Ending) -> None:
         transport = self.transport
         if transport is None or self.closing:
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,265 @@
+"""What the core keeps whatever the module says, on a clock and ports of the test's own."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Mapping
+from itertools import count
+from typing import Any
+
+import pytest
+
+from gradegap import interface as api
+from gradegap.core import SILENCE, Ask, Attempt, Backend, Core, Req
+from gradegap.stats import Stats
+from tests.helpers import settings
+
+
+class Handle:
+    def __init__(self) -> None:
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class Clock:
+    """The loop's clock and timers, moved on by hand."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.order = count()
+        self.timers: list[tuple[float, int, Handle, Callable[..., Any], tuple[Any, ...]]] = []
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, wait: float, call: Callable[..., Any], *args: Any) -> Handle:
+        handle = Handle()
+        heapq.heappush(self.timers, (self.now + wait, next(self.order), handle, call, args))
+        return handle
+
+    def call_soon(self, call: Callable[..., Any], *args: Any) -> Handle:
+        return self.call_later(0.0, call, *args)
+
+    def run(self, length: float) -> None:
+        end = self.now + length
+        while self.timers and self.timers[0][0] <= end:
+            at, _, handle, call, args = heapq.heappop(self.timers)
+            self.now = max(self.now, at)
+            if not handle.cancelled:
+                call(*args)
+        self.now = end
+
+
+class Session:
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.said: list[tuple[str, float]] = []
+
+    def _say(self, word: str) -> None:
+        self.said.append((word, self.clock.now))
+
+    def stand(self) -> None:
+        self._say("up")
+
+    def refuse(self, after: float) -> None:
+        self._say("busy")
+
+    def fail(self) -> None:
+        self._say("fail")
+
+    def move(self) -> None:
+        self._say("move")
+
+    def end(self) -> None:
+        self._say("end")
+
+    @property
+    def words(self) -> list[str]:
+        return [word for word, _ in self.said]
+
+
+class Fetch:
+    def __init__(self, attempt: Attempt, backend: Backend) -> None:
+        self.attempt, self.backend = attempt, backend
+        self.sent = self.abandoned = False
+
+    def write(self) -> None:
+        self.sent = True
+        self.attempt.wrote()
+
+    def abandon(self) -> None:
+        self.abandoned = True
+
+
+class Ports:
+    def __init__(self) -> None:
+        self.fetches: list[Fetch] = []
+
+    def fetch(self, session: Any, backend: Backend, wait: float, attempt: Attempt) -> Fetch:
+        self.fetches.append(Fetch(attempt, backend))
+        return self.fetches[-1]
+
+    def probe(
+        self, backend: Backend, wait: float, done: Callable[[api.Result, Mapping[str, float] | None], None]
+    ) -> None:
+        pass
+
+    def forget(self, backend: Backend) -> None:
+        pass
+
+
+class Script:
+    """A module that does as the test says, and keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.events: list[api.Event] = []
+        self.answers: dict[type, Callable[[Any], list[api.Action]]] = {}
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        return self.answers.get(type(event), lambda e: [])(event)
+
+    def outcomes(self) -> list[api.Result]:
+        return [e.result for e in self.events if isinstance(e, api.Outcome)]
+
+
+class Rig:
+    def __init__(self) -> None:
+        self.clock, self.ports, self.script = Clock(), Ports(), Script()
+        made: Any = self.clock
+        self.core = Core(settings(drain_grace=2.0), 1, self.ports, Stats(), made)
+        self.core.balancer = self.script  # type: ignore[assignment]
+        self.tell("a", api.ListKind.FULL)
+        self.script.answers[api.Request] = lambda e: [api.Send(e.id, "a", 5.0)]
+
+    def tell(self, name: str, kind: api.ListKind = api.ListKind.DELTA, **fields: Any) -> None:
+        self.core.listing(kind, [(api.ServerEntry(name, **fields), f"{name}:1")])
+
+    def take(self, wait: float = 2.0, at: str = "") -> tuple[Session, Req]:
+        session = Session(self.clock)
+        req = self.core.take(session, Ask("live", wait, at=at))
+        assert req is not None
+        return session, req
+
+    def standing(self) -> tuple[Session, Req, Fetch]:
+        session, req = self.take()
+        fetch = self.ports.fetches[-1]
+        fetch.write()
+        fetch.attempt.up()
+        return session, req, fetch
+
+
+def test_a_second_send_while_one_is_out_goes_nowhere() -> None:
+    rig = Rig()
+    rig.script.answers[api.Request] = lambda e: [api.Send(e.id, "a", 1.0), api.Send(e.id, "a", 1.0)]
+    rig.take()
+    assert len(rig.ports.fetches) == 1 and rig.core.stats.counts["moot"] == 1
+
+
+def test_a_module_that_never_answers_is_answered_for_at_the_deadline() -> None:
+    rig = Rig()
+    rig.script.answers.clear()
+    began = rig.clock.now
+    session, _ = rig.take(wait=1.5)
+    rig.clock.run(5.0)
+    assert session.said == [("fail", began + 1.5)] and not rig.core.reqs
+
+
+def test_an_attempt_ends_before_the_deadline_so_that_the_answer_is_in_time() -> None:
+    rig = Rig()
+    rig.script.answers[api.Outcome] = lambda e: [api.Refuse(e.id, 0.5)]
+    began = rig.clock.now
+    session, _ = rig.take(wait=1.5)
+    rig.ports.fetches[0].write()
+    rig.clock.run(5.0)
+    ((word, at),) = session.said
+    assert word == "busy" and at <= began + 1.5
+    assert rig.script.outcomes() == [api.Result.TIMEOUT] and rig.ports.fetches[0].abandoned
+
+
+def test_words_that_come_late_touch_nothing() -> None:
+    rig = Rig()
+    rig.script.answers[api.Outcome] = lambda e: [api.Refuse(e.id, 0.5)]
+    session, req = rig.take(wait=1.0)
+    attempt = rig.ports.fetches[0].attempt
+    rig.clock.run(1.2)
+    attempt.up()
+    attempt.over(api.Result.OK)
+    attempt.load(0.5)
+    req.gone()
+    rig.clock.run(1.0)
+    assert session.words == ["busy"] and len(rig.script.outcomes()) == 1
+
+
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+def test_a_fetch_still_connecting_when_the_grace_ends_is_abandoned_unsent(phase: api.Phase) -> None:
+    rig = Rig()
+    session, _ = rig.take(wait=9.0)
+    rig.tell("a", phase=phase)
+    rig.clock.run(1.95)
+    assert rig.ports.fetches[0].abandoned and not rig.ports.fetches[0].sent
+    assert rig.script.outcomes() == [api.Result.CONNECT_FAILED]
+    rig.take(wait=9.0)  # and nothing new is sent there, though the module asks for it
+    rig.clock.run(0.1)
+    assert len(rig.ports.fetches) == 1 and rig.script.outcomes()[1:] == [api.Result.MOOT]
+
+
+def test_a_list_told_again_does_not_begin_the_grace_anew() -> None:
+    rig = Rig()
+    rig.tell("a", phase=api.Phase.DRAINING)
+    rig.clock.run(1.5)
+    rig.tell("a", phase=api.Phase.DRAINING)
+    rig.clock.run(0.5)
+    rig.take()
+    assert not rig.ports.fetches
+
+
+def test_a_client_that_leaves_abandons_its_fetch_and_is_not_answered() -> None:
+    rig = Rig()
+    session, req = rig.take()
+    req.gone()
+    rig.clock.run(3.0)
+    assert rig.ports.fetches[0].abandoned and not session.said and not rig.core.reqs
+
+
+def test_a_standing_session_without_a_line_back_is_moved_before_seven_seconds() -> None:
+    rig = Rig()
+    session, req, _ = rig.standing()
+    rig.clock.run(2.0)
+    req.asked()
+    rig.clock.run(SILENCE)
+    assert session.words == ["up", "move"] and rig.clock.now - session.said[0][1] <= 7.0
+
+
+def test_a_standing_session_that_is_idle_or_answered_stays() -> None:
+    rig = Rig()
+    session, req, _ = rig.standing()
+    rig.clock.run(20.0)
+    req.asked()
+    req.heard()
+    rig.clock.run(20.0)
+    assert session.words == ["up"]
+
+
+def test_slow_messages_are_noted_once_a_second() -> None:
+    rig = Rig()
+    _, req, _ = rig.standing()
+    for k in range(10):
+        req.asked()
+        rig.clock.run(0.01 if k == 0 else 0.4)
+        req.heard()
+    notes = [e for e in rig.script.events if isinstance(e, api.Note)]
+    assert 2 <= len(notes) <= 4 and all(n.message_delay == pytest.approx(0.39) for n in notes)
+
+
+def test_a_connection_from_before_the_run_is_tried_again_where_it_could_not_be_made() -> None:
+    rig = Rig()
+    session, _ = rig.take(wait=40.0, at="a")
+    rig.ports.fetches[0].attempt.over(api.Result.CONNECT_FAILED)
+    rig.clock.run(0.5)
+    rig.ports.fetches[1].write()
+    rig.ports.fetches[1].attempt.up()
+    assert session.words == ["up"]
+    assert [type(e) for e in rig.script.events[1:]] == [api.Inherited]
