Ask QUIC clients to prove their address when many handshakes are under way

Also: first packets that nothing can be made of left a connection behind for good (front.py, _handshake_late closed it, but a connection without keys never ends); a test sends twenty. And core.py told the module that a drained backend's refused probe had failed to connect; three of those count as silence, on which all its connections move at once. It now says FULL, which means nothing.

--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -382,8 +382,9 @@
             self.feed(api.ProbeResult(a.server, result, self.now() - began, report))
 
         if b is None or not self.may_send(b):
-            # A backend that has drained gets nothing new, probes included.
-            self.loop.call_soon(done, api.Result.CONNECT_FAILED, None)
+            # A backend that drains past its grace gets nothing new, probes included. Guards against that
+            # being taken for its silence, on which the module would move all at once: FULL says nothing.
+            self.loop.call_soon(done, api.Result.FULL, None)
         else:
             self.port.probe(b, PROBE_WAIT, done)
 
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -17,6 +17,7 @@
     alpn: tuple[str, ...] = ("gradegap/1",)
     idle_s: float = 30.0
     max_sessions: int = 4000
+    retry_from: int = 64  # handshakes under way from which clients must prove their address
 
 
 class StoreSettings(msgspec.Struct):
--- a/gradegap/quic/front.py
+++ b/gradegap/quic/front.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import ssl
 from collections.abc import Callable
 from enum import IntEnum
@@ -18,7 +19,13 @@
 from aioquic.quic import events
 from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE, QuicConfiguration
 from aioquic.quic.connection import QuicConnection
-from aioquic.quic.packet import QuicPacketType, encode_quic_version_negotiation, pull_quic_header
+from aioquic.quic.packet import (
+    QuicPacketType,
+    encode_quic_retry,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from aioquic.quic.retry import QuicRetryTokenHandler
 
 from gradegap.core import Core
 from gradegap.net.client_session import HIGH_WATER, LINGER, ClientSession, Ending
@@ -164,6 +171,8 @@
     def _handshake_late(self) -> None:
         self.front.stats.count("quic_handshakes_late")
         self.abort(CloseCode.FAILED)
+        # Guards against first packets that nothing can be made of: their connection has no way to end.
+        self.loop.call_later(LINGER, self._terminated, True)
 
     def flush(self) -> None:
         if self.front.transport is None:
@@ -266,6 +275,8 @@
         self.ready = ready
         self.most = settings.max_sessions
         self.accept = True
+        self.retry = QuicRetryTokenHandler()
+        self.retry_from = settings.retry_from
         self.transport: asyncio.DatagramTransport | None = None
         self.routes: dict[bytes, QuicChannel] = {}
         self.channels: set[QuicChannel] = set()
@@ -334,9 +345,28 @@
             # Guards against floods of first packets: over the limit they are dropped, and may come again.
             self.stats.count("quic_crowded")
             return
+        original, retried = header.destination_cid, None
+        if header.token or under_way >= self.retry_from:
+            # Guards against floods from forged addresses: beyond some handshakes at once a client must
+            # show by a token that it hears what is sent to its address, before anything is kept for it.
+            if not header.token:
+                self._ask_again(header, addr)
+                return
+            try:
+                original = self.retry.validate_token(
+                    address=addr,
+                    destination_cid=header.destination_cid,
+                    token=header.token,
+                    now=self.loop.time(),
+                )
+                retried = header.destination_cid
+            except ValueError:
+                self.stats.count("quic_bad_tokens")
+                return
         connection = HeldConnection(
             configuration=self.configuration,
-            original_destination_connection_id=header.destination_cid,
+            original_destination_connection_id=original,
+            retry_source_connection_id=retried,
         )
         channel = QuicChannel(self, connection, addr)
         self.channels.add(channel)
@@ -344,6 +374,25 @@
         self.issue(connection.host_cid, channel)
         channel.receive(data, addr)
 
+    def _ask_again(self, header: Any, addr: Any) -> None:
+        source = os.urandom(self.configuration.connection_id_length)
+        token = self.retry.create_token(
+            address=addr,
+            original_destination_connection_id=header.destination_cid,
+            retry_source_connection_id=source,
+            now=self.loop.time(),
+        )
+        answer = encode_quic_retry(
+            version=header.version,
+            source_cid=source,
+            destination_cid=header.source_cid,
+            original_destination_cid=header.destination_cid,
+            retry_token=token,
+        )
+        self.stats.count("quic_retries")
+        if self.transport is not None:
+            self.transport.sendto(answer, addr)
+
     def answering(self) -> bool:
         """Whether a client may still lack the end of what was said to it."""
         return any(c.session is not None and c.session.opening and not c.gone for c in self.channels)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -96,6 +96,7 @@
 class Ports:
     def __init__(self) -> None:
         self.fetches: list[Fetch] = []
+        self.probed: list[str] = []
 
     def fetch(self, session: Any, backend: Backend, wait: float, attempt: Attempt) -> Fetch:
         self.fetches.append(Fetch(attempt, backend))
@@ -104,7 +105,7 @@
     def probe(
         self, backend: Backend, wait: float, done: Callable[[api.Result, Mapping[str, float] | None], None]
     ) -> None:
-        pass
+        self.probed.append(backend.id)
 
     def forget(self, backend: Backend) -> None:
         pass
@@ -263,3 +264,16 @@
     rig.ports.fetches[1].attempt.up()
     assert session.words == ["up"]
     assert [type(e) for e in rig.script.events[1:]] == [api.Inherited]
+
+
+def test_a_draining_backend_is_not_probed_past_its_grace_nor_held_to_be_silent() -> None:
+    """It once counted as silent, and its connections were moved in one wave."""
+    rig = Rig()
+    rig.script.answers[api.Timer] = lambda e: [api.Probe("a")]
+    rig.tell("a", phase=api.Phase.DRAINING)
+    rig.core.feed(api.Timer("look"))
+    rig.clock.run(2.5)
+    rig.core.feed(api.Timer("look"))
+    rig.clock.run(0.1)
+    assert rig.ports.probed == ["a"]
+    assert [e.result for e in rig.script.events if isinstance(e, api.ProbeResult)] == [api.Result.FULL]
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -116,13 +116,14 @@
 
 
 @contextmanager
-def quic_world(folder: Path, backends: list[Backend]) -> Iterator[tuple[World, int]]:
+def quic_world(folder: Path, backends: list[Backend], more: str = "") -> Iterator[tuple[World, int]]:
     make_certificate(folder)
     port = free_port(socket.SOCK_DGRAM)
     operator = f"""[quic]
 listen = "127.0.0.1:{port}"
 certificate = "{folder}/cert.pem"
 private_key = "{folder}/key.pem"
+{more}
 """
     with world(folder, backends, operator) as w:
         yield w, port
@@ -280,3 +281,34 @@
         c.send(big)
         c.until(lambda: len(c.data) >= len(big), 20.0)
         assert c.data == big
+
+
+def test_a_client_that_must_prove_its_address_is_served_all_the_same(tmp_path: Path) -> None:
+    with quic_world(tmp_path, [Backend("a")], "retry_from = 0") as (w, port):
+        assert QuicClient(port).ask() == "UP a"
+        assert w.counters()["quic_retries"] == "1"
+
+
+def test_first_packets_that_nothing_can_be_made_of_are_forgotten(tmp_path: Path) -> None:
+    with quic_world(tmp_path, [Backend("a")]) as (w, port):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            for _ in range(20):
+                head = b"\xc0\x00\x00\x00\x01\x08" + os.urandom(8) + b"\x08" + os.urandom(8) + b"\x00"
+                stranger.sendto(head + b"\x44\xb0" + os.urandom(1200), ("127.0.0.1", port))
+        wait_for(lambda: int(w.counters()["quic_sessions"]) == 20)
+        assert QuicClient(port).ask() == "UP a"
+        wait_for(lambda: int(w.counters()["quic_sessions"]) == 1, 10.0)
+        assert w.counters()["quic_ids"] == "9"
+
+
+def test_a_client_that_reads_nothing_holds_its_backend_back(tmp_path: Path) -> None:
+    b = Backend("a")
+    with quic_world(tmp_path, [b]) as (w, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        b.standing[0].settimeout(0.3)
+        sent = 0
+        with pytest.raises(TimeoutError):
+            while sent < 64 * 1024 * 1024:
+                sent += b.standing[0].send(b"y" * 65536)
+        assert "quic_overrun" not in w.counters()
