Read the configuration again on SIGHUP and change over to its discovery

Checked: app.run had no handler for SIGHUP; load() puts NODE_DISCOVERY over the file, which would have hidden the new address; a director's call had no way to be dropped, and a call to be made anew after a failure could have made a second watch beside it.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -35,6 +35,8 @@
 LEAVE_AT_LEAST = 0.7  # s from SIGTERM during which clients may still come
 LEAVE_LAST = 3.0  # s from SIGTERM until whatever stands then is moved at once
 LEAVE_AT_MOST = 3.5  # s from SIGTERM until the end, short of the 3.7 s after which SIGKILL may come
+RELOADED = ("discovery", "limits", "known")  # what a reload changes, the settings beside
+FIXED = ("name", "listen", "seed")  # what lasts for the life of a process
 READY_ANYWAY = 2.0  # s after which a node with the list of its configuration serves without discovery
 
 
@@ -64,6 +66,8 @@
 class Setup:
     config: Config
     settings: api.Settings
+    path: str  # the file it was read from
+    written: Config  # as the file has it, without the environment's words
 
     @property
     def seed(self) -> int:
@@ -84,6 +88,7 @@
         raise BadConfig(f"{path} can't be read: {error.strerror}") from None
     except msgspec.MsgspecError as error:
         raise BadConfig(f"{path} is no configuration: {error}") from None
+    written = msgspec.structs.replace(config)
     config.name = os.environ.get("NODE_NAME") or config.name
     config.listen = os.environ.get("NODE_LISTEN") or config.listen
     config.discovery = os.environ.get("NODE_DISCOVERY") or config.discovery
@@ -98,7 +103,21 @@
         raise BadConfig(f"settings lack {error}") from None
     except (ValueError, TypeError) as error:
         raise BadConfig(f"settings can't be used: {error}") from None
-    return Setup(config, settings)
+    return Setup(config, settings, path, written)
+
+
+def reload(old: Setup) -> Setup:
+    """The configuration anew, from the file it came from. What the file has changed since it was last read
+    is newer than the environment of the start, and goes over it; the rest stays as it is in force."""
+    new = load(old.path)
+    for name in RELOADED:
+        now, before = getattr(new.written, name), getattr(old.written, name)
+        setattr(new.config, name, now if now != before else getattr(old.config, name))
+    for name in FIXED:
+        if getattr(new.written, name) != getattr(old.written, name):
+            log.warning("takes effect at the next start only", setting=name)
+        setattr(new.config, name, getattr(old.config, name))
+    return new
 
 
 class Node:
@@ -137,11 +156,8 @@
         config = self.setup.config
         self.live.key("log_level", is_level, set_log_level, "info")
         self._tell_state("starting")
-        known = [item.entry() for item in config.known.servers]
-        self.core.listing(api.ListKind.CACHED, known)
         self.director.first = self._get_ready
-        if known:
-            self.loop.call_later(READY_ANYWAY, self._get_ready)
+        self._take_known()
         self.director.start()
         host, port = split_address(config.listen)
 
@@ -158,6 +174,13 @@
             await self._start_store(self.operator.store)
         log.info("listening", name=config.name, address=config.listen)
 
+    def _take_known(self) -> None:
+        """The list of the configuration, to serve with until discovery has told one."""
+        known = [item.entry() for item in self.setup.config.known.servers]
+        self.core.listing(api.ListKind.CACHED, known)
+        if known:
+            self.loop.call_later(READY_ANYWAY, self._get_ready)
+
     async def _start_quic(self, settings: QuicSettings) -> None:
         # Loaded here: a node without this front does without its libraries' memory.
         from gradegap.quic.front import QuicFront
@@ -197,6 +220,28 @@
             self.ready = True
             self._tell_state("ready")
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again and apply it, whatever else goes on; a bad one changes
+        nothing."""
+        old = self.setup
+        try:
+            self.setup = new = reload(old)
+        except BadConfig as error:
+            self.stats.count("reloads_failed")
+            log.error("configuration not reloaded, the old one is kept", error=str(error))
+            return
+        self.stats.count("reloads")
+        if new.settings != old.settings:
+            self.core.reconfigure(new.settings)
+            self.backends.connect_wait = new.settings.connect_timeout
+        if new.config.limits != old.config.limits:
+            raise_descriptor_limit(new.config.limits.sockets)
+        if new.config.known != old.config.known and not self.director.told:
+            self._take_known()
+        if new.config.discovery != old.config.discovery and isinstance(self.director, Director):
+            self.director.change_over(new.config.discovery)
+        log.info("configuration reloaded", discovery=new.config.discovery)
+
     def stop(self) -> None:
         """Leave: clients still come for a while, all are answered, all that stands is moved; then end."""
         if self.leaving:
@@ -233,6 +278,15 @@
         log.info("counters", **self.stats.snapshot())
 
 
+SIGNALS = (signal.SIGTERM, signal.SIGHUP)
+
+
+def hold_signals() -> None:
+    """Guards against a SIGHUP or SIGTERM that ends the process because its handler is not there yet, or is
+    there no more: it waits until `run` takes it, or until the process has ended by itself."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+
 def run(setup: Setup, operator: OperatorSettings | None = None) -> None:
     """Serve until a signal ends it."""
     import uvloop
@@ -243,10 +297,14 @@
         node = Node(setup, loop, operator)
         loop.add_signal_handler(signal.SIGUSR1, node.print_counters)
         loop.add_signal_handler(signal.SIGTERM, node.stop)
-        await node.start()
+        loop.add_signal_handler(signal.SIGHUP, node.reload)
         try:
+            await node.start()
+            # Only now: the loop's worker threads have begun with both held, and so never take them.
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
             await node.done
         finally:
+            hold_signals()
             node.print_counters()
 
     uvloop.run(main())
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -131,13 +131,12 @@
     """One proxy's decisions: `handle(now, event)` returns the actions to carry out, in order."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.set = settings
         self.rng = Random(seed)
         self.random = self.rng.random
         self.servers: dict[str, _Server] = {}
         self.ready: list[_Server] = []
         self.n_log_n = 0.0
-        self.ring: list[tuple[int, str]] = []
+        self.adopt(settings)
         self.reqs: dict[int, _Req] = {}
         self.out: list[api.Action] = []
         self.born = NEVER
@@ -153,12 +152,7 @@
         self.empty_by = 0.0  # this proxy leaves: all its connections are moved by then
         self.lead = LEAD
         self.list_failures = 0
-        self.by_probe = settings.probes and settings.reports is not api.Reports.NONE
-        self.field = next((f for f in COMPARED if f in settings.report_fields), "")
-        self.top_worth = max(c.worth for c in settings.classes.values()) or 1.0
         self.answering = 1.0  # part of probes of late that were answered
-        self.use_ring = settings.groups or settings.passes
-        self.cross = CROSSING * settings.cross_zone_price
         self.now = 0.0
         self.on: dict[type, Callable[[Any], None]] = {
             api.Request: self._request,
@@ -173,6 +167,20 @@
             api.Leaving: self._leaving,
         }
 
+    def adopt(self, settings: api.Settings) -> None:
+        """Settings to decide by from now on."""
+        self.set = settings
+        self.by_probe = settings.probes and settings.reports is not api.Reports.NONE
+        self.field = next((f for f in COMPARED if f in settings.report_fields), "")
+        self.top_worth = max(c.worth for c in settings.classes.values()) or 1.0
+        self.use_ring = settings.groups or settings.passes
+        self.ring = self._make_ring()
+        self.cross = CROSSING * settings.cross_zone_price
+
+    def _make_ring(self) -> list[tuple[int, str]]:
+        points = range(RING_POINTS) if self.use_ring else ()
+        return sorted((_hash(f"{s.name}#{i}"), s.name) for s in self.ready for i in points)
+
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.now = now
         if self.born == NEVER:
@@ -332,6 +340,8 @@
         """Condition: connections of one group share work on a server. The draws come from a ring that all
         proxies share, in one order for each group, so that its connections meet on few servers."""
         ring = self.ring
+        if not ring:  # switched off while this request was under way
+            return None
         if not r.walked:
             r.ring_at = bisect_right(ring, (_hash(r.ring_key), ""))
         if len(r.walked) >= min(len(self.ready), RING_WALK):
@@ -551,7 +561,9 @@
 
     def _inherited(self, e: api.Inherited) -> None:
         q = e.request
-        r = _Req(q.id, self.set.classes[q.cls], self.now, q.deadline_at)
+        # Guards against a class that a reload took away while the connection was coming up.
+        cls = self.set.classes.get(q.cls) or next(iter(self.set.classes.values()))
+        r = _Req(q.id, cls, self.now, q.deadline_at)
         s = self._known(e.server)
         r.attempts, r.out, r.standing, r.server = 1, True, True, s
         s.held[r.id] = r
@@ -688,12 +700,12 @@
             idle = max(0.0, MOVE_AT - s.load) if s.load is not None else 0.5
             due = s.looked_at + min(LOOK_SLOW, LOOK_FAST * (1.0 + 5.0 * idle)) - self.now
             if due <= 0.1:
-                if self.tokens > PROBES_KEPT:
+                if self.tokens > PROBES_KEPT and self.by_probe:
                     self._probe(s)
                 due = LOOK_FAST
             nearest = min(nearest, due)
-        self.ticking = bool(seen)
-        if seen:
+        self.ticking = bool(seen) and self.by_probe
+        if self.ticking:
             self.out.append(api.SetTimer(max(0.5, nearest) * (0.75 + 0.5 * self.random()), "look"))
 
     def _timer(self, e: api.Timer) -> None:
--- a/gradegap/cli.py
+++ b/gradegap/cli.py
@@ -12,7 +12,7 @@
 import structlog
 import typer
 
-from gradegap.app import BadConfig, Setup, load
+from gradegap.app import BadConfig, Setup, hold_signals, load
 from gradegap.app import run as run_node
 from gradegap.operator_file import BadOperatorFile, OperatorSettings, load_operator
 from gradegap.store.sync import RemoteStore
@@ -55,7 +55,8 @@
 
 @app.command()
 def serve(config: str | None = CONFIG, operator: str | None = OPERATOR) -> None:
-    """Run one node until SIGTERM."""
+    """Run one node until SIGTERM; SIGHUP has it read its configuration again."""
+    hold_signals()
     setup, settings = _load(config, operator)
     try:
         run_node(setup, settings)
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -145,6 +145,12 @@
             self.req.core.note(self.req, self.backend, load=value)
 
 
+def slow_message(settings: api.Settings) -> float:
+    """How much longer than its shortest a message takes where the module is told of it."""
+    aims = [c.message_aim for c in settings.classes.values() if c.message_aim > 0]
+    return min(aims, default=0.15) / 3
+
+
 class Core:
     def __init__(
         self,
@@ -155,6 +161,7 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.settings = settings
+        self.slow_message = slow_message(settings)
         self.balancer = Balancer(settings, seed)
         self.port = backends
         self.stats = stats
@@ -167,8 +174,6 @@
         self.rng = random.Random(seed ^ 0x5EED)
         self.leaving = False
         self.emptied: Callable[[], None] | None = None
-        aims = [c.message_aim for c in settings.classes.values() if c.message_aim > 0]
-        self.slow_message = min(aims, default=0.15) / 3
         self.act: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
             api.Refuse: self._refuse,
@@ -184,6 +189,12 @@
     def now(self) -> float:
         return self.loop.time() + self.anchor
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        """Settings that hold from now on; a req that is under way keeps its class as it was."""
+        self.settings = settings
+        self.slow_message = slow_message(settings)
+        self.balancer.adopt(settings)
+
     def feed(self, event: api.Event) -> None:
         """One event to the module; its actions are carried out in order."""
         for action in self.balancer.handle(self.now(), event):
--- a/gradegap/net/director.py
+++ b/gradegap/net/director.py
@@ -63,13 +63,28 @@
         self.told = False  # a list has come since the start
         self.first: Callable[[], None] | None = None
         self.call: Call | None = None
+        self.again: asyncio.TimerHandle | None = None  # the next call, after one that failed
         self.decoder = msgspec.json.Decoder(Listing)
         stats.gauge("watch", lambda: {"version": self.version, "told": self.told})
 
     def start(self) -> None:
         self._connect()
 
+    def change_over(self, address: str) -> None:
+        """Discovery is elsewhere from now on: its full list is asked for, and until it comes the last one
+        is kept. Whatever the old address still says is not heard."""
+        self.stats.count("director_changes")
+        old, self.call = self.call, None
+        self.address, self.version = address, None
+        if old is not None:
+            old.drop()
+        self._connect()
+
     def _connect(self) -> None:
+        # Guards against two watches at once, where a change of address meets a call that is to be made anew.
+        if self.again is not None:
+            self.again.cancel()
+            self.again = None
         self.call = call = Call(self)
         call.stop = self.dialer.dial(self.address, CONNECT_WAIT, call, call.failed)
 
@@ -106,7 +121,7 @@
         self.call = None
         if anew:
             self.version = None
-        self.core.loop.call_later(after, self._connect)
+        self.again = self.core.loop.call_later(after, self._connect)
 
 
 class Call(asyncio.Protocol):
@@ -128,7 +143,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self._ask()
+        if self.director.call is self:
+            self._ask()
+        else:
+            self.transport.abort()
 
     def _ask(self) -> None:
         assert self.transport is not None
@@ -138,6 +156,8 @@
         self.transport.write(head.encode())
 
     def data_received(self, data: bytes) -> None:
+        if self.director.call is not self:
+            return
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -181,9 +201,15 @@
         self.director.lost(self)
 
     def _end(self, after: float, anew: bool = False) -> None:
+        self.director.lost(self, after, anew)
+        self.drop()
+
+    def drop(self) -> None:
+        """Hear no more of it, wherever it stands."""
         if self.timer is not None:
             self.timer.cancel()
-        self.director.lost(self, after, anew)
+        if self.stop is not None:
+            self.stop()
         if self.transport is not None:
             self.transport.abort()
 
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,109 @@
+"""SIGHUP: the configuration is read again while the node serves."""
+
+from __future__ import annotations
+
+import json
+import signal
+import threading
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gradegap import interface as api
+from tests.helpers import CLASS, Driver, sends, settings
+from tests.world import SETTINGS, Backend, Director, World, wait_for, world
+
+
+def rewrite(w: World, **changes: Any) -> None:
+    full = json.loads(w.config.read_text()) | changes
+    w.config.write_text(json.dumps(full))
+    w.process.send_signal(signal.SIGHUP)
+
+
+@pytest.mark.parametrize("by_environment", [False, True])
+def test_each_reload_changes_over_to_another_discovery(tmp_path: Path, by_environment: bool) -> None:
+    """SIGHUP once ended the process; the environment's address must not hide the file's newer one."""
+    made = [Backend(name) for name in "abc"]
+    env = {"NODE_DISCOVERY": ""}
+    with world(tmp_path, made[:1], env=env if by_environment else None) as w:
+        assert w.client().ask() == "UP a"
+        for b in made[1:]:
+            old, w.director = w.director, Director([b.entry])
+            w.directors.append(w.director)
+            rewrite(w, discovery=w.director.address)
+            wait_for(lambda name=b.name: w.client().ask() == f"UP {name}")  # type: ignore[misc]
+            assert "index" not in w.director.calls[0][1]  # the full list first, then the watch
+            wait_for(lambda: any("index" in path for _, path in w.director.calls))
+            # What the old address says from now on is not heard.
+            with old.changed:
+                old.version += 1
+                old.changes.append((old.version, made[0].entry))
+                old.changed.notify_all()
+        assert {w.client().ask() for _ in range(6)} == {"UP c"}
+        counted = w.counters()
+        assert (counted["reloads"], counted["director_changes"]) == ("2", "2")
+        assert w.process.poll() is None
+
+
+def test_the_last_list_is_kept_until_the_new_address_tells_one(tmp_path: Path) -> None:
+    a, b = Backend("a"), Backend("b")
+    with world(tmp_path, [a]) as w:
+        standing = w.client()
+        assert standing.ask() == "UP a"
+        late = Director([b.entry])
+        late.hold = threading.Event()
+        w.directors.append(late)
+        rewrite(w, discovery=late.address)
+        wait_for(lambda: late.calls)
+        assert w.client().ask() == "UP a"
+        standing.send("still there")
+        assert standing.line() == "still there"
+        late.hold.set()
+        wait_for(lambda: w.client().ask() == "UP b")
+
+
+@pytest.mark.parametrize("text", ["{", '{"name":"n0"}', '{"name":"n0","listen":"x","discovery":"y"}'])
+def test_a_bad_file_changes_nothing(tmp_path: Path, text: str) -> None:
+    with world(tmp_path, [Backend("a")]) as w:
+        w.config.write_text(text)
+        w.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: w.counters().get("reloads_failed") == "1")
+        assert "not reloaded" in w.log.read_text() and w.client().ask() == "UP a"
+
+
+def test_a_reload_changes_classes_for_who_comes_next(tmp_path: Path) -> None:
+    with world(tmp_path, [Backend("a")]) as w:
+        assert w.client().ask("c=new,d=900") == "ERR"
+        lanes = SETTINGS["Lanes"] + [SETTINGS["Lanes"][0] | {"Name": "new"}]
+        rewrite(w, settings=SETTINGS | {"Lanes": lanes})
+        wait_for(lambda: w.client().ask("c=new,d=900") == "UP a")
+
+
+def test_reloads_beside_sigterm_don_t_change_how_the_node_leaves(tmp_path: Path) -> None:
+    with world(tmp_path, [Backend("a")]) as w:
+        c = w.client()
+        assert c.ask() == "UP a"
+        w.process.send_signal(signal.SIGHUP)
+        w.process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + 5
+        while w.process.poll() is None and time.monotonic() < end:
+            w.process.send_signal(signal.SIGHUP)  # until the very end of the process
+            time.sleep(0.002)
+        assert w.process.returncode == 0 and [c.line(), c.line()] == ["MOVE", ""]
+
+
+def test_the_module_goes_on_with_settings_that_take_away_what_it_used() -> None:
+    """A request under way draws from the ring, and looks are due, when a reload switches both off."""
+    d = Driver(groups=True)
+    first = sends(d.answer_probes(d.request(team="g1"), 0.1))[0]
+    d.stand(first)
+    waiting = d.request(team="g2")
+    assert not sends(waiting)
+    d.balancer.adopt(settings(classes={"other": CLASS}, probes=False))
+    assert not any(isinstance(a, api.Probe) for a in d.feed(api.Timer("look"), after=1.0))
+    again = d.feed(api.Timer(f"h{d.next_id}"))
+    assert sends(again) and sends(d.outcome(sends(again)[0], api.Result.RESET))
+    d.balancer.adopt(settings(groups=True))
+    assert sends(d.answer_probes(d.request(team="g1"), 0.1)) and len(d.balancer.ring) == 6 * 16
--- a/tests/world.py
+++ b/tests/world.py
@@ -124,6 +124,7 @@
         self.calls: list[tuple[float, str]] = []
         self.answered: list[float] = []
         self.garbage: list[bytes] = []  # what the next answers are instead
+        self.hold: threading.Event | None = None  # no answer until it is set
         director = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -131,6 +132,8 @@
 
             def do_GET(self) -> None:
                 director.calls.append((time.time(), self.path))
+                if director.hold is not None:
+                    director.hold.wait(10)
                 if director.garbage:
                     self.wfile.write(director.garbage.pop(0))
                     self.close_connection = True
@@ -197,17 +200,23 @@
     """A node as a process, with its backends and its director."""
 
     def __init__(
-        self, folder: Path, backends: list[Backend], operator: str | None = None, **config: Any
+        self,
+        folder: Path,
+        backends: list[Backend],
+        operator: str | None = None,
+        env: dict[str, str] | None = None,
+        **config: Any,
     ) -> None:
         self.backends = backends
         self.director = Director([b.entry for b in backends])
+        self.directors = [self.director]
         self.address = f"127.0.0.1:{free_port()}"
-        path = folder / "config.json"
+        self.config = path = folder / "config.json"
         full = {"name": "n0", "listen": self.address, "discovery": self.director.address, "seed": "8c1f"}
         path.write_text(json.dumps(full | {"settings": SETTINGS} | config))
-        env = os.environ | {"NODE_CONFIG": str(path), "PYTHONUNBUFFERED": "1"}
-        for name in ("NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"):
-            env.pop(name, None)
+        extra = {name: value or self.director.address for name, value in (env or {}).items()}
+        env = {name: value for name, value in os.environ.items() if not name.startswith("NODE_")}
+        env |= {"NODE_CONFIG": str(path), "PYTHONUNBUFFERED": "1"} | extra
         if operator is not None:
             (folder / "operator.toml").write_text(operator)
             env["GRADEGAP_OPERATOR"] = str(folder / "operator.toml")
@@ -239,9 +248,13 @@
 
 @contextmanager
 def world(
-    folder: Path, backends: list[Backend], operator: str | None = None, **config: Any
+    folder: Path,
+    backends: list[Backend],
+    operator: str | None = None,
+    env: dict[str, str] | None = None,
+    **config: Any,
 ) -> Iterator[World]:
-    made = World(folder, backends, operator, **config)
+    made = World(folder, backends, operator, env, **config)
     try:
         wait_for(made.ready, 15.0)
         yield made
@@ -250,4 +263,5 @@
     finally:
         made.process.kill()
         made.process.wait()
-        made.director.server.shutdown()
+        for director in made.directors:
+            director.server.shutdown()
