Refuse first lines a server can't use, answer the silent, and keep a budget of descriptors

Lines at fault: parse_opening read figures by float() and did not look at the id, FIRST_LINE_WAIT of 30 s, with_wait rewrote only plain waits, nothing counted sockets, a client that goes on sending was read at full speed.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -19,6 +19,7 @@
 from gradegap.live import LiveConfig, is_count, is_level, is_switch, set_log_level
 from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
 from gradegap.net.client_session import TcpChannel
+from gradegap.net.descriptors import Descriptors
 from gradegap.net.director import Director, Listing
 from gradegap.operator_file import OperatorSettings, QuicSettings, StoreSettings
 from gradegap.stats import Stats
@@ -131,7 +132,8 @@
         self.quic: QuicFront | None = None
         self.loop = loop
         self.stats = Stats()
-        self.backends = Backends(loop, setup.settings.connect_timeout)
+        self.descriptors = Descriptors(raise_descriptor_limit(setup.config.limits.sockets), self.stats)
+        self.backends = Backends(loop, setup.settings.connect_timeout, self.descriptors)
         self.core = Core(setup.settings, setup.seed, self.backends, self.stats, loop)
         self.director: Director | DnsDirector = self._make_director()
         self.store = Store(setup.config.name)
@@ -162,7 +164,7 @@
         host, port = split_address(config.listen)
 
         def channel() -> TcpChannel:
-            return TcpChannel(self.core, self.stats, lambda: self.ready, self.channels)
+            return TcpChannel(self.core, self.stats, lambda: self.ready, self.channels, self.descriptors)
 
         try:
             self.server = await self.loop.create_server(channel, host, port, backlog=1024)
@@ -235,7 +237,7 @@
             self.core.reconfigure(new.settings)
             self.backends.connect_wait = new.settings.connect_timeout
         if new.config.limits != old.config.limits:
-            raise_descriptor_limit(new.config.limits.sockets)
+            self.descriptors.limit = raise_descriptor_limit(new.config.limits.sockets)
         if new.config.known != old.config.known and not self.director.told:
             self._take_known()
         if new.config.discovery != old.config.discovery and isinstance(self.director, Director):
@@ -293,7 +295,6 @@
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        raise_descriptor_limit(setup.config.limits.sockets)
         node = Node(setup, loop, operator)
         loop.add_signal_handler(signal.SIGUSR1, node.print_counters)
         loop.add_signal_handler(signal.SIGTERM, node.stop)
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -44,6 +44,11 @@
     retry: bool = False
     reconnect: bool = False
     at: str = ""  # the backend that holds this connection from before the run
+    id: str = ""  # the client's name for this connection, of which there is one at a time; none: unnamed
+
+
+class Unfit(ValueError):
+    """A req that can't be taken."""
 
 
 class SessionPort(Protocol):
@@ -170,6 +175,7 @@
         self.anchor_ms = time.time() * 1000  # when this node started, in Unix time
         self.backends: dict[str, Backend] = {}
         self.reqs: dict[int, Req] = {}
+        self.open_ids: set[str] = set()  # the clients' names of these
         self.next_id = 1
         self.rng = random.Random(seed ^ 0x5EED)
         self.leaving = False
@@ -253,11 +259,16 @@
 
     # Client sessions
 
-    def take(self, session: SessionPort, ask: Ask) -> Req | None:
-        """A client session's req, or None where its class is unknown."""
+    def take(self, session: SessionPort, ask: Ask) -> Req:
+        """A client session's req; `Unfit` where it can't be taken."""
         cls = self.settings.classes.get(ask.cls)
         if cls is None:
-            return None
+            raise Unfit("unknown class")
+        if ask.id in self.open_ids:
+            # Guards against two connections under one id, of which a backend could serve but one.
+            raise Unfit("the id of another client's req")
+        if ask.id:
+            self.open_ids.add(ask.id)
         self.stats.count("taken")
         now = self.now()
         wait = cls.limit if ask.wait is None else ask.wait
@@ -454,7 +465,8 @@
 
     def _drop(self, req: Req) -> None:
         self._unguard(req)
-        self.reqs.pop(req.id, None)
+        if self.reqs.pop(req.id, None) is not None:
+            self.open_ids.discard(req.ask.id)
         if not self.reqs and self.emptied is not None:
             self.emptied()
 
--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 import socket
 from collections.abc import Callable
 from typing import Any, cast
@@ -11,6 +12,7 @@
 from gradegap.core import Attempt, Backend, ProbeDone
 from gradegap.interface import Result
 from gradegap.net.client_session import HIGH_WATER, ClientSession, Pausable, no_delay, reset
+from gradegap.net.descriptors import Descriptors
 from gradegap.net.framing import LONGEST, parse_report
 
 PROBE_IDLE = 20.0  # s until an idle probe connection is closed
@@ -25,8 +27,9 @@
 class Dialer:
     """Makes TCP connections without a task for each: one task hands all that are made to the loop."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, descriptors: Descriptors) -> None:
         self.loop = loop
+        self.descriptors = descriptors
         self.made: asyncio.Queue[tuple[socket.socket, asyncio.Protocol]] = asyncio.Queue()
         self.task = loop.create_task(self._hand_over())
 
@@ -70,7 +73,7 @@
             self.made.put_nowait((sock, protocol))
 
         try:
-            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock = self.descriptors.dialed(family)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect((host, port))
@@ -316,9 +319,11 @@
 class Backends:
     """The core's backend port over TCP."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, connect_wait: float) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, connect_wait: float, descriptors: Descriptors
+    ) -> None:
         self.loop = loop
-        self.dialer = Dialer(loop)
+        self.dialer = Dialer(loop, descriptors)
         self.connect_wait = connect_wait
         self.probers: dict[str, Prober] = {}
 
@@ -353,13 +358,13 @@
             self.loop.call_soon(prober._over, Result.RESET)
 
 
-def raise_descriptor_limit(wanted: int) -> None:
-    import resource
-
+def raise_descriptor_limit(wanted: int) -> int:
+    """As many descriptors as are wanted, where the system gives them; what there are then to use."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < wanted:
-        top = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, top), hard))
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    return min(wanted, soft) if wanted > 0 else soft
 
 
 __all__ = ["Backends", "Dialer", "Fetch", "Prober", "raise_descriptor_limit"]
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -9,13 +9,18 @@
 from enum import Enum
 from typing import Any, Protocol, cast
 
-from gradegap.core import Core, Req
+from gradegap.core import Core, Req, Unfit
+from gradegap.net.descriptors import Descriptors, Rank
 from gradegap.net.framing import LONGEST, BadLine, LineWatch, Opening, parse_opening
 from gradegap.stats import Stats
 
 HIGH_WATER = 64 * 1024  # bytes kept for one side until the other is no longer read
-FIRST_LINE_WAIT = 30.0  # s that a connection may take over its first line, or idle between two PINGs
+FIRST_LINE_WAIT = 2.5  # s from its start that a connection may take over its first line
+PING_IDLE = 30.0  # s that one which has said PING may take until it says more
+PINGS = 100  # that may come at once
 LINGER = 1.0  # s for the other side to end a connection that has been answered
+LINGER_MOST = 5.0  # s for one that goes on sending
+DRAIN_PAUSE = 0.003  # s between two reads of what such a one sends, so that it costs little CPU
 LINE_END_WAIT = 0.5  # s for the end of a line that is half through, before a MOVE
 
 
@@ -37,6 +42,8 @@
     def close(self, ending: Ending) -> None: ...
     def pause(self) -> None: ...
     def resume(self) -> None: ...
+    def pinged(self) -> None: ...
+    def opened(self) -> None: ...
 
 
 class Pipe(Protocol):
@@ -52,7 +59,10 @@
 class ClientSession:
     """One client's connection: its first line, its answer, then lines both ways."""
 
-    def __init__(self, core: Core, stats: Stats, channel: Channel, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, core: Core, stats: Stats, channel: Channel, ready: Callable[[], bool], spent: float = 0.0
+    ) -> None:
+        """A session whose channel has taken `spent` seconds to come up."""
         self.core = core
         self.stats = stats
         self.channel = channel
@@ -66,7 +76,10 @@
         self.closed = False
         self.moving = False
         self.reset = False
-        self.timer: asyncio.TimerHandle | None = core.loop.call_later(FIRST_LINE_WAIT, self._idle)
+        self.idle = False  # it has said PING
+        self.timer: asyncio.TimerHandle | None = core.loop.call_later(
+            max(0.0, FIRST_LINE_WAIT - spent), self._late
+        )
 
     # From the channel
 
@@ -78,11 +91,18 @@
                 self.req.asked()
             self.pipe.write(data)
             return
-        self.buffer += data
         if self.opening is None:
+            pinged = not self.buffer and self.idle
+            self.buffer += data
             self._first_lines()
-        elif len(self.buffer) > HIGH_WATER:
-            self.channel.pause()
+            if pinged and self.buffer and self.opening is None and not self.closed:
+                self._wait(FIRST_LINE_WAIT)  # a line has begun
+        else:
+            self.buffer += data
+            if self._asks_more() and self.req is not None:
+                req = self.req
+                self._bad("more than a first line", "early_bytes")
+                req.gone()
 
     def eof(self) -> None:
         """The client has ended its side."""
@@ -110,12 +130,24 @@
             else:
                 self.pipe.resume()
 
-    def _idle(self) -> None:
+    def evict(self, after: float) -> None:
+        """The channel is needed for others: this session has not asked for anything yet."""
+        if not self.closed:
+            self.refuse(after)
+
+    def _wait(self, length: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.core.loop.call_later(length, self._late)
+
+    def _late(self) -> None:
+        """Guards against clients that say nothing, or half a line, and hold what others need."""
         if self.opening is None and not self.closed:
-            self._shut(Ending.BAD)
+            self._bad("no first line in time", "late_first_lines")
 
     def _first_lines(self) -> None:
         """PING for as long as it comes; the first other line opens the session."""
+        pings = 0
         while self.opening is None and not self.closed:
             end = self.buffer.find(b"\n")
             # Guards against first lines without end: over 4 KiB there is one failure line and a close.
@@ -128,23 +160,36 @@
             del self.buffer[: end + 1]
             if line.rstrip(b"\r\n") == b"PING":
                 self.stats.count("pings")
+                pings += 1
+                if pings > PINGS:
+                    self._bad("too many commands at once")
+                    return
                 self.channel.write(b"PONG\r\n" if self.ready() else b"ERR\r\n")
+                if not self.buffer:
+                    self.idle = True
+                    self.channel.pinged()
+                    self._wait(PING_IDLE)
                 continue
             try:
-                self.opening = parse_opening(line)
-            except BadLine as error:
+                self.opening = opening = parse_opening(line)
+                if self._asks_more():
+                    raise BadLine("more than a first line")
+                self.req = self.core.take(self, opening.ask)
+            except (BadLine, Unfit) as error:
                 self._bad(str(error))
                 return
             if self.timer is not None:
                 self.timer.cancel()
-            req = self.core.take(self, self.opening.ask)
-            if req is None:
-                self._bad("unknown class")
-            else:
-                self.req = req
+            if not self.closed:  # it may have been refused at once
+                self.channel.opened()
+
+    def _asks_more(self) -> bool:
+        """Guards against clients that don't wait for their answer: some bytes behind the first line are kept
+        for the backend, but neither hundreds of commands nor what would fill the memory."""
+        return len(self.buffer) > LONGEST or self.buffer.startswith(b"OPEN ") or b"\nOPEN " in self.buffer
 
-    def _bad(self, why: str) -> None:
-        self.stats.count("bad_first_lines")
+    def _bad(self, why: str, counter: str = "bad_first_lines") -> None:
+        self.stats.count(counter)
         self.channel.write(b"ERR\r\n")
         self._shut(Ending.BAD)
 
@@ -251,21 +296,55 @@
 class TcpChannel(Pausable):
     """A client's TCP connection."""
 
-    def __init__(self, core: Core, stats: Stats, ready: Callable[[], bool], live: set[TcpChannel]) -> None:
+    def __init__(
+        self,
+        core: Core,
+        stats: Stats,
+        ready: Callable[[], bool],
+        live: set[TcpChannel],
+        descriptors: Descriptors,
+    ) -> None:
         self.loop = core.loop
         self.live = live
+        self.descriptors = descriptors
         self.session = ClientSession(core, stats, self, ready)
         self.closing = False
+        self.close_by = 0.0
+        self.last: asyncio.TimerHandle | None = None  # what ends a connection that lingers
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(HIGH_WATER)
         no_delay(self.transport)
         self.live.add(self)
+        self.descriptors.accepted(self)
+
+    def pinged(self) -> None:
+        self.descriptors.rank(self, Rank.PINGED)
+
+    def opened(self) -> None:
+        self.descriptors.rank(self, None)
+
+    def evict(self) -> None:
+        self.session.evict(self.session.core.settings.max_retry_after)
+        if self.transport is not None:
+            self.transport.close()
 
     def data_received(self, data: bytes) -> None:
         if not self.closing:
             self.session.data(data)
+        if self.closing and not self.paused:
+            # Guards against a client that goes on sending after its answer: it is read away, so that no
+            # reset overtakes the answer, but at a pace that costs others nothing.
+            self.pause()
+            self.loop.call_later(DRAIN_PAUSE, self._drain)
+
+    def _drain(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.resume()
+            if self.last is not None and self.loop.time() + LINGER < self.close_by:
+                self.last.cancel()
+                self.last = self.loop.call_later(LINGER, self._last)
 
     def eof_received(self) -> bool:
         if self.closing:
@@ -275,6 +354,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.live.discard(self)
+        self.descriptors.released(self)
+        if self.last is not None:
+            self.last.cancel()
         self.transport = None
         self.session.lost(reset=exc is not None)
 
@@ -301,7 +383,13 @@
         # that gets more, resets the other side. So only our side ends, and the rest is read away.
         if transport.can_write_eof() and not transport.is_closing():
             transport.write_eof()
-        self.loop.call_later(LINGER, transport.close)
+        self.descriptors.rank(self, Rank.ANSWERED)
+        self.close_by = self.loop.time() + LINGER_MOST
+        self.last = self.loop.call_later(LINGER, self._last)
+
+    def _last(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
 
 
 def no_delay(transport: asyncio.BaseTransport) -> None:
--- /dev/null
+++ b/gradegap/net/descriptors.py
@@ -0,0 +1,98 @@
+"""The node's descriptors: how many are open, and who makes way when they run short.
+
+Standing sessions, fetches, probes and discovery come first. Connections that have been answered, then those
+that only ever said PING, then those that have not said what they want are closed for them, the oldest first.
+"""
+
+from __future__ import annotations
+
+import socket
+from enum import IntEnum
+from typing import Protocol
+
+from gradegap.stats import Stats
+
+BASE = 32  # for the process itself, its listeners, discovery, the store's peers and some probes
+DIALS = 16  # one part in so many is kept from new clients, for fetches and probes
+
+
+class Rank(IntEnum):
+    """Who makes way first."""
+
+    ANSWERED = 0
+    PINGED = 1
+    UNOPENED = 2
+
+
+class Evictable(Protocol):
+    def evict(self) -> None:
+        """Close at once; `release` follows."""
+
+
+class Descriptors:
+    def __init__(self, limit: int, stats: Stats) -> None:
+        self.limit = limit
+        self.stats = stats
+        self.held = 0
+        # Dictionaries for their order: the oldest is the first.
+        self.ranks: tuple[dict[Evictable, None], ...] = tuple({} for _ in Rank)
+        stats.gauge("sockets", lambda: f"{self.held}/{self.limit}")
+
+    def accepted(self, channel: Evictable) -> None:
+        """A client has connected. Guards against clients that connect and say nothing: they would take
+        the descriptors that those who ask need."""
+        self.held += 1
+        self.rank(channel, Rank.UNOPENED)
+        self._make_way(self.limit - BASE - self.limit // DIALS)
+
+    def rank(self, channel: Evictable, rank: Rank | None) -> None:
+        """What a channel has come to; None: it is in use and stays."""
+        for each in self.ranks:
+            each.pop(channel, None)
+        if rank is not None:
+            self.ranks[rank][channel] = None
+
+    def released(self, channel: Evictable) -> None:
+        self.held -= 1
+        self.rank(channel, None)
+
+    def dialed(self, family: int) -> DialedSocket:
+        """A socket to dial with."""
+        self._make_way(self.limit - BASE)
+        return DialedSocket(self, family)
+
+    def _make_way(self, most: int) -> None:
+        if self.held <= most:
+            return
+        for rank in Rank:
+            if self.ranks[rank]:
+                channel = next(iter(self.ranks[rank]))
+                self.rank(channel, None)
+                self.stats.count(f"evicted_{rank.name.lower()}")
+                channel.evict()
+                return
+
+
+class DialedSocket(socket.socket):
+    """A TCP socket of the node's own, counted from its making to its close, whoever closes it."""
+
+    owner: Descriptors | None = None
+
+    def __init__(self, owner: Descriptors, family: int) -> None:
+        super().__init__(family, socket.SOCK_STREAM)
+        self.owner = owner
+        owner.held += 1
+
+    def _release(self) -> None:
+        if self.owner is not None:
+            self.owner.held -= 1
+            self.owner = None
+
+    def close(self) -> None:
+        self._release()
+        super().close()
+
+    def detach(self) -> int:
+        # How uvloop lets go of a socket whose transport it closes.
+        self._release()
+        return super().detach()
--- a/gradegap/net/framing.py
+++ b/gradegap/net/framing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 import re
 from collections.abc import Callable
@@ -13,7 +14,11 @@
 LONGEST = 4096  # bytes of a line, its end included
 LONGEST_WAIT = 10 * 24 * 3600.0  # s; timers take no more
 
-_WAIT = re.compile(rb"(?<=[ ,])d=[0-9.]+")
+LARGEST_WAIT = 2.0**32  # ms that a client may say it waits
+LARGEST_LOAD = 1e15
+
+# Plain decimal: no sign, nan, inf or underscore, as float() would take.
+_FIGURE = re.compile(r"[0-9]{1,16}(?:\.[0-9]{1,18})?(?:[eE][+-]?[0-9]{1,2})?")
 
 
 class BadLine(ValueError):
@@ -22,23 +27,40 @@
 
 @dataclass(slots=True, frozen=True)
 class Opening:
-    """A client's first line: what it asks for, and the bytes as they came."""
+    """A client's first line: what it asks for, and the bytes as they came, before and after its wait."""
 
     ask: Ask
-    line: bytes
+    before: bytes
+    after: bytes
 
     def with_wait(self, wait: float) -> bytes:
         """The line as it goes on to a backend: unchanged, but for how long the node will wait."""
-        return _WAIT.sub(b"d=%d" % max(1, int(wait * 1000)), self.line, count=1)
+        return b"%b%d%b" % (self.before, max(1, int(wait * 1000)), self.after)
+
+
+def figure(text: str, most: float = math.inf) -> float:
+    """A figure of the protocol: a plain number, not negative and not beyond `most`."""
+    if _FIGURE.fullmatch(text) is None:
+        raise BadLine(f"{text[:40]!r} is no figure")
+    value = float(text)
+    if value > most:
+        raise BadLine(f"{text[:40]} is too large")
+    return value
 
 
 def parse_opening(line: bytes) -> Opening:
-    """`OPEN id key name=value,...` with its CRLF."""
+    """`OPEN id key name=value,...` with its CRLF.
+
+    Guards against lines that a save server can't use, which it must never see: a wrong form, control
+    characters, a name given twice, figures that are none. Names that are not known here go on as they are.
+    """
     try:
         text = line.decode("utf-8")
     except UnicodeDecodeError:
         raise BadLine("not UTF-8") from None
-    parts = text.rstrip("\r\n").split(" ")
+    if not text.endswith("\r\n") or not text[:-2].isprintable():
+        raise BadLine("no CRLF at its end, or control characters")
+    parts = text[:-2].split(" ")
     if len(parts) != 4 or parts[0] != "OPEN" or not parts[1] or not parts[2]:
         raise BadLine("not OPEN with an id, a key and a list of values")
     values: dict[str, str] = {}
@@ -46,17 +68,14 @@
         name, sign, value = pair.partition("=")
         if not sign or not name:
             raise BadLine(f"{pair[:40]!r} is no name and value")
+        if name in values:
+            raise BadLine(f"{name[:40]!r} twice")
         values[name] = value
-    if "c" not in values:
-        raise BadLine("no class")
-    try:
-        wait = min(float(values["d"]) / 1000, LONGEST_WAIT) if "d" in values else None
-        load = float(values.get("h", 0)) * 1e-6
-    except ValueError:
-        raise BadLine("a figure that is no number") from None
-    # A connection from before the run waits for hours: only what is no time at all is bad.
-    if wait is not None and not 0 <= wait < math.inf:
-        raise BadLine("a wait out of range")
+    if "c" not in values or "d" not in values:
+        raise BadLine("no class or no wait")
+    # A connection from before the run waits for hours, longer than a timer can.
+    wait = min(figure(values["d"], LARGEST_WAIT) / 1000, LONGEST_WAIT)
+    load = figure(values.get("h", "0"), LARGEST_LOAD) * 1e-6
     ask = Ask(
         values["c"],
         wait,
@@ -66,8 +85,11 @@
         values.get("r") == "1",
         values.get("again") == "1",
         values.get("at", ""),
+        parts[1],
     )
-    return Opening(ask, line)
+    fields = text.rfind(" ") + 1
+    at = fields if parts[3].startswith("d=") else text.index(",d=", fields) + 1
+    return Opening(ask, text[: at + 2].encode(), text[at + 2 + len(values["d"]) :].encode())
 
 
 def parse_report(text: str) -> dict[str, float] | None:
@@ -75,11 +97,9 @@
     report: dict[str, float] = {}
     for pair in text.strip().split(","):
         name, sign, value = pair.partition("=")
-        try:
-            if sign:
-                report[FIELDS.get(name, name)] = float(value)
-        except ValueError:
-            continue
+        if sign:
+            with contextlib.suppress(BadLine):
+                report[FIELDS.get(name, name)] = figure(value)
     return report or None
 
 
--- a/gradegap/quic/front.py
+++ b/gradegap/quic/front.py
@@ -28,7 +28,7 @@
 from aioquic.quic.retry import QuicRetryTokenHandler
 
 from gradegap.core import Core
-from gradegap.net.client_session import HIGH_WATER, LINGER, ClientSession, Ending
+from gradegap.net.client_session import FIRST_LINE_WAIT, HIGH_WATER, LINGER, ClientSession, Ending
 from gradegap.operator_file import QuicSettings
 from gradegap.stats import Stats
 
@@ -38,7 +38,7 @@
 WINDOW = 256 * 1024  # bytes that a client may send ahead at first
 OVERRUN = 8 * 1024 * 1024  # bytes waiting for a client beyond which its connection is given up
 DRAIN_CHECK = 0.02  # s between two looks whether a paused backend may go on
-HANDSHAKE_WAIT = 5.0  # s that a handshake may take
+HANDSHAKE_WAIT = FIRST_LINE_WAIT  # s that a handshake may take; with the first line behind it no longer
 MOST_HANDSHAKES = 256  # handshakes under way at once
 
 
@@ -109,6 +109,7 @@
         self.closing = False  # our side of the stream has ended
         self.gone = False
         self.full = False  # the backend is not read while the client is slow
+        self.began = self.loop.time()
         self.handshake = self.loop.call_later(HANDSHAKE_WAIT, self._handshake_late)
 
     def receive(self, data: bytes, address: Any) -> None:
@@ -135,7 +136,8 @@
         elif isinstance(event, events.HandshakeCompleted):
             self.handshake.cancel()
             self.front.stats.count("quic_handshakes")
-            self.session = ClientSession(self.front.core, self.front.stats, self, self.front.ready)
+            spent = self.loop.time() - self.began
+            self.session = ClientSession(self.front.core, self.front.stats, self, self.front.ready, spent)
         elif isinstance(event, events.StreamReset):
             if self.session is not None and event.stream_id == STREAM:
                 self.session.lost(reset=True)
@@ -203,6 +205,12 @@
 
     # The channel of the session
 
+    def pinged(self) -> None:
+        pass
+
+    def opened(self) -> None:
+        pass
+
     def write(self, data: bytes) -> None:
         if self.gone or self.closing:
             return
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -16,9 +16,19 @@
     assert ask.retry and ask.reconnect and ask.at == ""
 
 
+@pytest.mark.parametrize("fields", ["d=%s,c=chat", "c=chat,x=d=7,d=%s,dd=9", "z=d=1,c=chat,g=,n=-4.5e3,d=%s"])
+@pytest.mark.parametrize("wait", ["2000", "1999.5", "2e3", "0002000"])
+def test_whatever_its_form_only_the_wait_is_written_anew(fields: str, wait: str) -> None:
+    """A wait that was not plain once went on as the client had it; names that are not known are kept."""
+    opening = framing.parse_opening(f"OPEN 1 2 {fields % wait}\r\n".encode())
+    assert opening.with_wait(0.25) == f"OPEN 1 2 {fields % 250}\r\n".encode()
+    assert opening.ask.wait == float(wait) / 1000
+
+
 def test_connections_from_before_the_run_may_wait_for_hours() -> None:
     """Waits over an hour were once read as bad lines, and every such connection was lost."""
     ask = framing.parse_opening(b"OPEN 1 2 c=chat,d=4294967,at=s-1\r\n").ask
+    assert framing.parse_opening(b"OPEN 1 2 c=chat,d=4294967295,at=s-1\r\n").ask.at == "s-1"
     assert ask.at == "s-1" and ask.wait == 4294.967
 
 
@@ -34,6 +44,19 @@
         b"OPEN 1 2 c=chat,junk\r\n",
         b"OPEN 1 \xff c=chat\r\n",
         b"\r\n",
+        # What float() takes and no save server does; each once went on to one, some with another wait.
+        *(b"OPEN 1 2 c=chat,d=" + wait + b"\r\n" for wait in (b"", b"+5", b"1_000", b" 5", b"inf", b"1e999")),
+        *(b"OPEN 1 2 c=chat,d=" + wait + b"\r\n" for wait in (b"9" * 15, b"9" * 400, "\u0665".encode())),
+        *(b"OPEN 1 2 c=chat,d=5,h=" + load + b"\r\n" for load in (b"nan", b"-1", b"1e30", b"")),
+        b"OPEN 1 2 c=chat,d=5,d=2000\r\n",
+        b"OPEN 1 2 c=chat,c=other,d=5\r\n",
+        b"OPEN 1 2 c=chat\r\n",
+        b"OPEN  2 c=chat,d=5\r\n",
+        b"OPEN 2 c=chat,d=5\r\n",
+        b"OPEN 1\x00 2 c=chat,d=5\r\n",
+        b"OPEN 1 2 c=chat,d=5,g=a\tb\r\n",
+        b"OPEN 1 2 c=chat,d=5\n",
+        b"OPEN 1 2 c=chat,d=5\r\r\n",
     ],
 )
 def test_bad_first_lines_are_told_apart(line: bytes) -> None:
@@ -42,7 +65,7 @@
 
 
 def test_reports_are_read_under_the_modules_names_and_junk_is_skipped() -> None:
-    report = framing.parse_report("x0=0.61,concurrent=7,pace=high,odd")
+    report = framing.parse_report("x0=0.61,concurrent=7,pace=high,odd,a=nan,b=-1,c=inf,d=1_0,e=")
     assert report == {"x0": 0.61, "inflight": 7.0}
     assert framing.parse_report("") is None
 
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -23,7 +23,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 
 from gradegap.quic.front import CloseCode
-from tests.world import BUSY_MACHINE, Backend, World, free_port, wait_for, world
+from tests.world import BUSY_MACHINE, Backend, World, free_port, fresh_id, wait_for, world
 
 
 def make_certificate(folder: Path) -> None:
@@ -103,8 +103,8 @@
         line, _, self.data = self.data.partition(b"\r\n")
         return line.decode()
 
-    def ask(self, fields: str = "c=live,d=1500,g=1", ident: str = "9b1f") -> str:
-        self.send(f"OPEN {ident} 7f3a {fields}\r\n".encode())
+    def ask(self, fields: str = "c=live,d=1500,g=1", ident: str = "") -> str:
+        self.send(f"OPEN {ident or fresh_id()} 7f3a {fields}\r\n".encode())
         return self.line()
 
     def code(self) -> CloseCode:
@@ -180,14 +180,21 @@
 
 @pytest.mark.parametrize(
     "raw",
-    [b"x" * 5000, b"OPEN 1 2 c=live,d=\xff\r\n", b"OPEN 1 2 c=none,d=5\r\n", b"GET / HTTP/1.1\r\n"],
+    [
+        b"x" * 5000,
+        b"OPEN 1 2 c=live,d=\xff\r\n",
+        b"OPEN 1 2 c=none,d=5\r\n",
+        b"GET / HTTP/1.1\r\n",
+        b"OPEN 1 2 c=live,d=1500\r\n" * 200,
+        b"OPEN 1",  # and then nothing: there is an answer all the same, in time
+    ],
 )
 def test_garbage_on_the_stream_gets_one_failure_line(tmp_path: Path, raw: bytes) -> None:
     b = Backend("a")
     with quic_world(tmp_path, [b]) as (w, port):
         c = QuicClient(port)
         c.send(raw)
-        assert c.line() == "ERR"
+        assert c.line(3.0 + BUSY_MACHINE) == "ERR"
         assert c.code() is CloseCode.BAD_LINE
         assert not b.opens and "taken" not in w.counters()
 
--- /dev/null
+++ b/tests/test_rude.py
@@ -0,0 +1,158 @@
+"""Clients that ask badly, or for nothing: each is answered or closed in time, and others notice nothing."""
+
+from __future__ import annotations
+
+import os
+import re
+import select
+import socket
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.world import BUSY_MACHINE, Backend, Client, World, fresh_id, hard_reset, wait_for, world
+
+IN_TIME = 3.0 + BUSY_MACHINE
+
+
+def open_files(w: World) -> int:
+    return len(os.listdir(f"/proc/{w.process.pid}/fd"))
+
+
+def memory_mb(w: World, kind: str = "VmHWM") -> float:
+    text = Path(f"/proc/{w.process.pid}/status").read_text()
+    found = re.search(rf"{kind}:\s+(\d+) kB", text)
+    assert found is not None
+    return int(found[1]) / 1024
+
+
+@pytest.mark.parametrize("said", [b"", b"OPEN 1 2 c=li", b"PING\r\nOP"])
+def test_who_does_not_say_what_it_wants_is_answered_within_three_seconds(tmp_path: Path, said: bytes) -> None:
+    """Such connections were once held for 30 s."""
+    with world(tmp_path, [Backend("a")]) as w:
+        c, pinged, began = w.client(), w.client(), time.time()
+        pinged.send("PING")
+        assert pinged.line() == "PONG"
+        c.send(said)
+        assert not said.startswith(b"PING") or c.line() == "PONG"
+        assert [c.line(), c.line()] == ["ERR", ""] and time.time() - began < IN_TIME
+        assert int(w.counters()["late_first_lines"]) >= 1
+        pinged.send("PING")  # what asks for health on one connection may go on
+        assert pinged.line() == "PONG"
+        assert pinged.ask() == "UP a"
+
+
+def test_the_id_of_an_open_req_is_refused_and_never_reaches_a_backend(tmp_path: Path) -> None:
+    """The id was once not looked at, and both were served."""
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        ident = fresh_id()
+        first = w.client()
+        assert first.ask(ident=ident) == "UP a"
+        for _ in range(3):
+            c = w.client()
+            assert [c.ask(ident=ident), c.line()] == ["ERR", ""]
+        assert len(b.opens) == 1
+        first.send("still mine")
+        assert first.line() == "still mine"
+        hard_reset(first.sock)
+        wait_for(lambda: w.counters()["reqs"] == "0")
+        assert w.client().ask(ident=ident) == "UP a"
+
+
+@pytest.mark.parametrize(
+    ("pieces", "opens"),
+    [
+        ([b"OPEN %d 2 c=live,d=1500\r\n" * 300], 0),  # hundreds of commands at one time
+        ([b"PING\r\n" * 500], 0),
+        ([b"OPEN %d 2 c=live,d=1500\r\n", b"OPEN 8 2 c=live,d=1500\r\n"], 1),
+        ([b"OPEN %d 2 c=live,d=1500\r\n" + b"x" * 9000], 0),
+        ([b"OPEN %d 2 c=live,d=1500\r\n", b"x" * 9000], 1),
+    ],
+)
+def test_who_does_not_wait_for_its_answer_gets_a_failure(
+    tmp_path: Path, pieces: list[bytes], opens: int
+) -> None:
+    b = Backend("a", "silence")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        c.send(pieces[0].replace(b"%d", fresh_id().encode()))
+        for piece in pieces[1:]:
+            wait_for(lambda: b.opens)
+            c.send(piece)
+        lines = c.file.read().decode().splitlines()
+        assert lines[-1] == "ERR" and set(lines[:-1]) <= {"PONG"}
+        wait_for(lambda: w.counters()["reqs"] == "0")
+        assert len(b.opens) <= opens
+        assert len(b.ended) == len(b.opens)  # what was under way for it is given up
+
+
+def test_one_that_sends_megabytes_costs_neither_memory_nor_others(tmp_path: Path) -> None:
+    """The answer must not be lost to a reset, though the client reads it only after all is sent."""
+    with world(tmp_path, [Backend("a")]) as w:
+        before = memory_mb(w)
+        answers: list[bytes] = []
+
+        def send() -> None:
+            sock = socket.create_connection(w.client().sock.getpeername(), timeout=8)
+            sock.sendall(b"k" * 60_000_000)
+            answers.append(sock.recv(100))
+
+        threads = [threading.Thread(target=send) for _ in range(2)]
+        for each in threads:
+            each.start()
+        slowest = 0.0
+        while any(each.is_alive() for each in threads):
+            began = time.time()
+            assert w.client().ask() == "UP a"
+            slowest = max(slowest, time.time() - began)
+            threads[0].join(0.05)
+        for each in threads:
+            each.join()
+        assert answers == [b"ERR\r\n"] * 2
+        assert memory_mb(w) - before < 12 and slowest < 0.3 + BUSY_MACHINE
+
+
+def test_descriptors_are_kept_for_those_who_ask(tmp_path: Path) -> None:
+    """Hundreds of connections that say nothing once took every descriptor, and who asked got none."""
+    limit = 160
+    with world(tmp_path, [Backend("a")], limits={"sockets": limit}) as w:
+        idle = open_files(w)
+        crowd: list[Client] = []
+        for k in range(400):
+            crowd.append(w.client())
+            if k % 3 == 0:
+                crowd[-1].send("PING")
+            if k % 3 == 1:
+                crowd[-1].send(b"OPEN 1 2 c=")
+            if k % 20 == 0:
+                good = w.client()
+                assert good.ask() == "UP a"
+                good.send("hello")
+                assert good.line() == "hello"
+                assert open_files(w) <= limit
+                hard_reset(good.sock)
+        assert w.client().ask() == "UP a"
+        counted = w.counters()
+        assert int(counted["evicted_pinged"]) > 50 and int(counted["evicted_unopened"]) > 50
+        # Those that made way were told when to come back.
+        told = [c for c in crowd[::3] if select.select([c.sock], [], [], 0)[0]]
+        assert any(re.match(rb"(PONG\r\n)?BUSY \d+", c.sock.recv(100)) for c in told)
+        for c in crowd:
+            hard_reset(c.sock)
+        wait_for(lambda: open_files(w) <= idle + 8)
+        wait_for(lambda: int(w.counters()["sockets"].split("/")[0]) <= 8)  # and the count is true
+
+
+def test_standing_sessions_that_fill_the_node_are_kept_and_the_next_told_to_come_back(tmp_path: Path) -> None:
+    with world(tmp_path, [Backend("a")], limits={"sockets": 160}) as w:
+        said = ["UP a"]
+        clients = []
+        while said[-1] == "UP a":
+            clients.append(w.client())
+            said.append(clients[-1].ask())
+        assert re.fullmatch(r"BUSY \d+", said[-1]) and len(clients) > 40
+        clients[0].send("hello")
+        assert clients[0].line() == "hello" and open_files(w) <= 160
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,11 +15,13 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from itertools import count
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent
+IDS = count(1)
 BUSY_MACHINE = 0.25  # s that a machine shared with others may add to what a test times
 SETTINGS: dict[str, Any] = {
     "Bounds": {"ConnectTimeoutNs": 200_000_000, "MaxAttempts": 4, "MaxRetryAfterNs": 1_000_000_000}
@@ -45,6 +47,10 @@
     return seen
 
 
+def fresh_id() -> str:
+    return f"{next(IDS):016x}"
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     with socket.socket(socket.AF_INET, kind) as sock:
         sock.bind(("127.0.0.1", 0))
@@ -188,8 +194,8 @@
         """The next line; empty at the end of the connection."""
         return self.file.readline().decode().rstrip("\r\n")
 
-    def ask(self, fields: str = "c=live,d=1500,g=1", ident: str = "9b1f") -> str:
-        self.send(f"OPEN {ident} 7f3a {fields}")
+    def ask(self, fields: str = "c=live,d=1500,g=1", ident: str = "") -> str:
+        self.send(f"OPEN {ident or fresh_id()} 7f3a {fields}")
         return self.line()
 
     def quiet(self, for_s: float) -> bool:
