Keep a group's connections together: what a server holds of one counts in its figure

Checked: each server that holds any of a group pays three mean loads for it, and a group has some 40 connections: spread by load alone, and drawn again along the ring from 0.8 on, it took up most of the servers, and the more the fuller they were.

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -30,8 +30,8 @@
 REPORTS_BEHIND = 5.0  # s: growth of our own connections that reports may not show yet
 RATE_FAST = 2.0  # s: memory of the rate in a wave; b takes the larger of the two
 OWN_MEMORY = 1.0  # s: how long our own placements count on top of a report that may not show them yet
-FULL_AT = 0.8  # load over capacity from which a drawn pair's lighter one is drawn again
-ROOM_TO = 0.8  # load over capacity up to which all proxies together may fill a server
+FULL_AT = 0.9  # load over capacity from which a drawn pair's lighter one is drawn again
+ROOM_TO = 0.95  # load over capacity up to which all proxies together may fill a server
 LOW_WORTH = 0.15  # how much less room there is for a request worth nothing
 REPORT_LAG = 0.5  # s: age of a report when it is first seen, until the pace of reports is learned
 REDRAWS = 3  # further pairs looked at when a pair is full
@@ -56,6 +56,8 @@
 GUARD = 0.02  # s before a deadline at which a request that waits is answered
 ASK_SPREAD = 0.5  # part of ask_within over which proxies spread their first call to the list service
 RING_WALK = 8  # servers of the ring drawn from, before a group's request draws from the ready list
+TEAM_LOADS = 8.0  # mean connection loads that a group costs where we hold none of it: the three that its
+# server pays, and what the next of the group save by finding it there
 RING_POINTS = 16  # points of a server on the ring from which groups draw
 COMPARED = ("x0", "util", "inflight")  # what is compared: the first that reports carry
 
@@ -100,6 +102,7 @@
     drains_at: float = 0.0  # when we were told that it drains or is gone; 0: it does not
     empty_by: float = 0.0  # all our connections are moved off it by then
     held: dict[int, _Req] = field(default_factory=dict)  # own standing connections
+    teams: dict[str, int] = field(default_factory=dict)  # how many of them each group has
     waiters: list[_Req] = field(default_factory=list)  # requests that wait for its probe
 
 
@@ -269,8 +272,7 @@
     def _request(self, e: api.Request) -> None:
         now = self.now
         r = _Req(e.id, self.set.classes[e.cls], now, e.deadline_at)
-        if self.use_ring:
-            r.ring_key = e.team or (e.key if self.set.passes else "")
+        r.ring_key = self._key(e)
         self.reqs[e.id] = r
         again = e.retry or e.reconnect
         self.tokens = min(PROBES_SAVED, self.tokens + (PROBES_PER_RETURN if again else PROBES_PER_REQUEST))
@@ -280,6 +282,11 @@
         self._draw(r)
         self.came.add(now)
 
+    def _key(self, e: api.Request) -> str:
+        if not self.use_ring:
+            return ""
+        return e.team or (e.key if self.set.passes else "")
+
     def _draw(self, r: _Req) -> None:
         """Draw a pair, and compare it now or when its probes are back."""
         if r.bound is not None and self.now >= r.bound_until:
@@ -374,11 +381,14 @@
         """Our own placements on a server of late."""
         return s.own * math.exp((s.own_at - self.now) / OWN_MEMORY)
 
-    def _figure(self, s: _Server) -> float | None:
-        """The last probed load, with what we know it cannot show yet and the price of crossing."""
+    def _figure(self, s: _Server, r: _Req) -> float | None:
+        """The last probed load, with what we know it cannot show yet, the price of crossing, and what the
+        request's group would add where we hold none of it."""
         if s.load is None:
             return None
         figure = s.load + self.unit * self._own(s)
+        if r.ring_key and r.ring_key not in s.teams:
+            figure += TEAM_LOADS * self.unit
         return figure if s.is_local else figure + self.cross
 
     def _has_room(self, s: _Server, worth: float) -> bool:
@@ -430,7 +440,7 @@
         keep = a
         if a is not b:
             if self.by_probe or self.set.reports is api.Reports.ANSWERS:
-                fa, fb = self._figure(a), self._figure(b)
+                fa, fb = self._figure(a, r), self._figure(b, r)
                 age = self.now - min(a.seen_at, b.seen_at)
             elif self.set.weights is api.Weights.LIVE:
                 fa, fb, age = 1.0 / max(a.weight, 1e-9), 1.0 / max(b.weight, 1e-9), 0.0
@@ -446,10 +456,10 @@
         if self.by_probe:
             # Condition: what is kept of the pair is full, or costs as much with its crossing. Another pair
             # is drawn and the lightest seen is kept.
-            figure = self._figure(keep)
+            figure = self._figure(keep, r)
             best = r.best
             if best is not None and best.index >= 0 and best not in r.tried:
-                other = self._figure(best)
+                other = self._figure(best, r)
                 if other is not None and (figure is None or other < figure):
                     keep, figure = best, other
             room = self._has_room(keep, r.cls.worth)
@@ -515,12 +525,24 @@
             return
         r.standing = True
         s = r.server
-        s.held[r.id] = r
+        self._hold(s, r)
         if s.phase is not api.Phase.READY:  # it began to drain while this one was set up
             self._empty(s)
         self.stood.add(self.now)
         self._start_ticking()
 
+    def _hold(self, s: _Server, r: _Req) -> None:
+        s.held[r.id] = r
+        s.teams[r.ring_key] = s.teams.get(r.ring_key, 0) + 1
+
+    def _let_go(self, s: _Server, r: _Req) -> bool:
+        if s.held.pop(r.id, None) is None:
+            return False
+        s.teams[r.ring_key] -= 1
+        if not s.teams[r.ring_key]:
+            del s.teams[r.ring_key]
+        return True
+
     def _outcome(self, e: api.Outcome) -> None:
         if e.report:
             s = self.servers.get(e.server)
@@ -532,7 +554,7 @@
         s = r.server
         r.out = False
         if s is not None:
-            held = s.held.pop(r.id, None)
+            held = self._let_go(s, r)
             if held and not s.held and e.result is api.Result.RESET and s.phase is api.Phase.DRAINING:
                 self.lead = max(0.3, min(self.lead, self.now - s.drains_at))  # it stopped before the end
             if s.phase is api.Phase.GONE and not s.held:
@@ -565,8 +587,9 @@
         cls = self.set.classes.get(q.cls) or next(iter(self.set.classes.values()))
         r = _Req(q.id, cls, self.now, q.deadline_at)
         s = self._known(e.server)
+        r.ring_key = self._key(q)
         r.attempts, r.out, r.standing, r.server = 1, True, True, s
-        s.held[r.id] = r
+        self._hold(s, r)
         if s.phase is api.Phase.DRAINING:
             self._empty(s)
         self.reqs[r.id] = r
@@ -646,13 +669,15 @@
         count = int(want + self.random())
         s.rest_until = self.now + MOVE_REST * self._pace() * (0.5 + self.random())
         if count:
-            # The least worth goes first: where no server has room it is what will be refused.
-            self._move(sorted(s.held.values(), key=lambda r: r.cls.worth * (0.5 + self.random()))[:count])
+            # The least worth goes first, as where no server has room it is what will be refused, and the
+            # smallest group, as with its last connection goes what the server pays for it.
+            order = [(s.teams[r.ring_key] * r.cls.worth * (0.5 + self.random()), r) for r in s.held.values()]
+            self._move([r for _, r in sorted(order, key=lambda each: each[0])[:count]])
 
     def _move(self, reqs: list[_Req]) -> None:
         for r in reqs:
             if r.server is not None:
-                r.server.held.pop(r.id, None)
+                self._let_go(r.server, r)
             r.done = True
             self.out.append(api.Move(r.id))
 
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -57,6 +57,33 @@
         d.stand(send)
 
 
+def held_from_before(d: Driver, server: str, team: str, count: int) -> None:
+    for _ in range(count):
+        d.next_id += 1
+        d.feed(api.Inherited(api.Request(d.next_id, "live", d.now + 2.0, team=team), server))
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_group_stays_where_it_is_held_unless_that_is_much_the_fuller(seed: int) -> None:
+    """Each server that holds any of a group pays for it once more; groups were once spread by load alone."""
+    d = Driver(servers=2, seed=seed, groups=True)
+    held_from_before(d, "s0", "g1", 20)
+    (send,) = sends(d.answer_probes(d.request(team="g1"), lambda s: 0.42 if s == "s0" else 0.40, 20.0))
+    assert send.server == "s0"
+    d.outcome(send, api.Result.CANCELLED, settled=True)
+    d.now += 30.0
+    (send,) = sends(d.answer_probes(d.request(team="g1"), lambda s: 0.8 if s == "s0" else 0.2, 20.0))
+    assert send.server == "s1"
+
+
+def test_moves_take_the_smallest_groups_first() -> None:
+    d = Driver(servers=2, groups=True)
+    for team, count in (("large", 30), ("small", 2)):
+        held_from_before(d, "s0", team, count)
+    moved = [a.id for a in d.probed("s0", 1.2) if isinstance(a, api.Move)]
+    assert {31, 32} <= set(moved) and len(moved) < 15
+
+
 def test_connections_move_off_a_full_server_a_few_at_a_time_and_then_rest() -> None:
     d = Driver(servers=2)
     stood_on_one(d, 12)
