--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from random import Random
-from typing import Any
+from typing import Any, get_args
 
 from gradegap import interface as api
 
@@ -39,14 +39,16 @@
 CROSSING = 8.0  # load over capacity that one point of service of crossing price is held equal to
 COLD_SAFETY = 0.5  # part of a cold server's present share that draws may give it: two-way wins double it
 MOVE_AT = 0.9  # load over capacity from which standing connections are moved away
-MOVE_TO = 0.75  # load over capacity that the moves of all proxies together aim at
-MOVE_GAIN = 0.5  # part of the excess to move at each look, as looks repeat
-MOVE_REST = 3.0  # report paces between two rounds of moves off one server, so that reports show the first
+MOVE_TO = 0.85  # load over capacity that the moves of all proxies together aim at
+MOVE_GAIN = 1.0  # part of the excess to move at each look
+MOVE_REST = 1.5  # report paces between two rounds of moves off one server, so that reports show the first
 LEAVE_TICK = 0.1  # s between two rounds of moves off what leaves
 LEAD = 3.6  # s that a server told to drain is held to stay, until one was seen to stop sooner
 LEAD_FROM, LEAD_TO = 0.75, 1.0  # parts of that lead between which its connections are moved
 GONE_TIME = 0.5  # s over which what is left on a server that is gone is moved
 LEAVE_LAG = 0.4  # s before a proxy that leaves begins to move: until then clients still come to it
+OUT_FROM = 2  # failures in a row from which a server is not drawn for a while
+OUT_FIRST, OUT_MOST = 0.5, 4.0  # s: the first such while, and the longest
 SILENT = 3  # probes in a row unanswered from which connections are moved away
 LOOK_FAST, LOOK_SLOW = 0.7, 4.0  # s between looks at a server that holds our connections: full, idle
 PROBES_PER_REQUEST = 6.0  # probes a request may use, looks included, so that their price is bounded
@@ -97,7 +99,10 @@
     probing: float = NEVER  # when the probe still out was sent
     own: float = 0.0  # own placements of late, decaying
     own_at: float = 0.0
+    unit: float = 0.0  # what one connection adds to its load, learned from its reports
     silent: int = 0  # probes in a row that it left unanswered
+    failed: int = 0  # attempts in a row that came to nothing there
+    out_until: float = 0.0  # not drawn before, where others can be
     rest_until: float = 0.0  # no moves off it before
     drains_at: float = 0.0  # when we were told that it drains or is gone; 0: it does not
     empty_by: float = 0.0  # all our connections are moved off it by then
@@ -150,25 +155,14 @@
         self.recent: deque[float] = deque()  # arrivals within fall_time
         self.tokens = PROBES_SAVED / 2
         self.ticking = False
-        self.unit = 0.0  # what one connection adds to a server's load, learned from reports
         self.asking = False
         self.empty_by = 0.0  # this proxy leaves: all its connections are moved by then
         self.lead = LEAD
         self.list_failures = 0
         self.answering = 1.0  # part of probes of late that were answered
         self.now = 0.0
-        self.on: dict[type, Callable[[Any], None]] = {
-            api.Request: self._request,
-            api.ProbeResult: self._probed,
-            api.Timer: self._timer,
-            api.Established: self._established,
-            api.Outcome: self._outcome,
-            api.Note: self._note,
-            api.ServerList: self._list,
-            api.Inherited: self._inherited,
-            api.ClientGone: self._client_gone,
-            api.Leaving: self._leaving,
-        }
+        handlers = {kind: getattr(self, f"_on_{kind.__name__.lower()}") for kind in get_args(api.Event)}
+        self.on: dict[type, Callable[[Any], None]] = handlers
 
     def adopt(self, settings: api.Settings) -> None:
         """Settings to decide by from now on."""
@@ -195,7 +189,7 @@
 
     # The list of servers
 
-    def _list(self, e: api.ServerList) -> None:
+    def _on_serverlist(self, e: api.ServerList) -> None:
         if e.kind is api.ListKind.FAILED:
             # Guards against a list service that drowns: every proxy's calls fail together, so each
             # waits longer after every failure, by an amount of its own.
@@ -203,9 +197,7 @@
             self.list_failures += 1
             self._ask_later(min(1.0, 0.1 * 2.0**self.list_failures) * (0.5 + self.random()))
             if self.list_failures in (3, 10):
-                self.out.append(
-                    api.Log(f"list service failed {self.list_failures} times; the old list is kept")
-                )
+                self.out.append(api.Log(f"list failed {self.list_failures} times; the old one is kept"))
             return
         if e.kind is not api.ListKind.DELTA:
             named = {entry.server for entry in e.entries}
@@ -238,6 +230,7 @@
         if e.started_at > s.started_at:  # a new process: what was known of the old one is void
             s.started_at = e.started_at
             s.load = None
+            s.silent, s.failed, s.out_until = 0, 0, 0.0
             s.seen_at = s.looked_at = NEVER
         s.zone, s.cell, s.weight = e.zone, e.cell, e.weight
         s.is_local = not e.zone or not self.set.zone or e.zone == self.set.zone
@@ -269,7 +262,7 @@
 
     # A request's way
 
-    def _request(self, e: api.Request) -> None:
+    def _on_request(self, e: api.Request) -> None:
         now = self.now
         r = _Req(e.id, self.set.classes[e.cls], now, e.deadline_at)
         r.ring_key = self._key(e)
@@ -337,7 +330,7 @@
             # Guards against pushing a cold server over, all proxies together.
             if s.started_at > 0 and not self._cold_may(s):
                 continue
-            if s in r.tried:
+            if s in r.tried or s.out_until > self.now:
                 fallback = fallback or s
                 continue
             return s
@@ -386,9 +379,8 @@
         request's group would add where we hold none of it."""
         if s.load is None:
             return None
-        figure = s.load + self.unit * self._own(s)
-        if r.ring_key and r.ring_key not in s.teams:
-            figure += TEAM_LOADS * self.unit
+        added = self._own(s) + (TEAM_LOADS if r.ring_key and r.ring_key not in s.teams else 0.0)
+        figure = s.load + s.unit * added
         return figure if s.is_local else figure + self.cross
 
     def _has_room(self, s: _Server, worth: float) -> bool:
@@ -399,11 +391,11 @@
         """
         age = self.now - s.seen_at
         # Guards against frozen reports: one older than any delay says nothing of room, so trust the draw.
-        if s.load is None or self.unit <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
+        if s.load is None or s.unit <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
             return True
-        load = s.load * self._growth() + self.unit * self._own(s)
+        load = s.load * self._growth() + s.unit * self._own(s)
         # The least worth is refused first.
-        room = (ROOM_TO - LOW_WORTH * (1.0 - worth / self.top_worth) - load) / self.unit
+        room = (ROOM_TO - LOW_WORTH * (1.0 - worth / self.top_worth) - load) / s.unit
         if room <= 0:
             return False
         pace = self._pace()
@@ -490,6 +482,8 @@
         s.own_at = self.now
         if r.cls.repeat is api.Repeat.KEYED and r.bound is None:
             r.bound_until = self.now + r.cls.repeat_window  # binds only if this attempt may have run
+        if s.failed >= OUT_FROM:  # one at a time finds out whether it is back
+            s.out_until = self.now + OUT_FIRST
         self.out.append(api.Send(r.id, s.name, timeout))
 
     def _group_of(self, s: _Server, r: _Req) -> Any:
@@ -497,6 +491,12 @@
             return s.zone
         return s.cell if r.cls.group is api.RepeatGroup.CELL else True
 
+    def _out(self, s: _Server, times: int) -> None:
+        """Condition: probes or attempts came to nothing, several in a row. Draws pass the server by for a
+        while, longer each time, unless nothing else can be drawn."""
+        if times >= OUT_FROM:
+            s.out_until = self.now + min(OUT_MOST, OUT_FIRST * 2.0 ** (times - OUT_FROM))
+
     def _wait(self, r: _Req) -> None:
         """Nothing may be sent to now: look again soon, and refuse when the aim has passed."""
         if self.now - r.arrived >= r.cls.aim or r.deadline - self.now <= 2 * GUARD:
@@ -519,12 +519,13 @@
 
     # What comes back
 
-    def _established(self, e: api.Established) -> None:
+    def _on_established(self, e: api.Established) -> None:
         r = self.reqs.get(e.id)
         if r is None or r.server is None:
             return
         r.standing = True
         s = r.server
+        s.failed, s.out_until = 0, 0.0
         self._hold(s, r)
         if s.phase is not api.Phase.READY:  # it began to drain while this one was set up
             self._empty(s)
@@ -543,7 +544,7 @@
             del s.teams[r.ring_key]
         return True
 
-    def _outcome(self, e: api.Outcome) -> None:
+    def _on_outcome(self, e: api.Outcome) -> None:
         if e.report:
             s = self.servers.get(e.server)
             if s is not None:
@@ -563,6 +564,9 @@
             r.done = True
             del self.reqs[r.id]
             return
+        if s is not None and e.result not in (api.Result.FULL, api.Result.CANCELLED, api.Result.MOOT):
+            s.failed += 1
+            self._out(s, s.failed)
         if e.result not in api.NEVER_RAN:
             r.maybe_ran = True
             if r.cls.repeat is api.Repeat.KEYED and r.bound is None and s is not None:
@@ -574,14 +578,14 @@
         else:
             self._draw(r)
 
-    def _client_gone(self, e: api.ClientGone) -> None:
+    def _on_clientgone(self, e: api.ClientGone) -> None:
         r = self.reqs.get(e.id)
         if r is not None:
             r.done = True
             if not r.out:
                 del self.reqs[r.id]
 
-    def _inherited(self, e: api.Inherited) -> None:
+    def _on_inherited(self, e: api.Inherited) -> None:
         q = e.request
         # Guards against a class that a reload took away while the connection was coming up.
         cls = self.set.classes.get(q.cls) or next(iter(self.set.classes.values()))
@@ -604,7 +608,7 @@
             self.tokens -= 1
             self.out.append(api.Probe(s.name))
 
-    def _probed(self, e: api.ProbeResult) -> None:
+    def _on_proberesult(self, e: api.ProbeResult) -> None:
         s = self.servers.get(e.server)
         if s is None:
             return
@@ -613,9 +617,12 @@
             if e.report:
                 self._read(s, e.report)
             s.silent = 0
+            if s.failed < OUT_FROM:
+                s.out_until = 0.0
             self.answering += 0.05 * (1.0 - self.answering)
         elif e.result is not api.Result.FULL:  # its probes are capped: no sign of trouble
             s.silent += 1
+            self._out(s, s.silent)
             self.answering -= 0.05 * self.answering
         waiters, s.waiters = s.waiters, []
         for r in waiters:
@@ -647,7 +654,8 @@
             value /= max(s.weight, 1e-9)
         elif count is not None and count >= 1:
             unit = min(1.0, value / count)
-            self.unit += 0.05 * (unit - self.unit) if self.unit else unit
+            # Guards against a few slow servers that make all the others look too full to take any.
+            s.unit += 0.3 * (unit - s.unit) if s.unit else unit
         s.load = value + (piled if 0.0 < piled < math.inf else 0.0)
 
     def _relieve(self, s: _Server) -> None:
@@ -665,9 +673,12 @@
             load = None
         if load is None or load < MOVE_AT or self.now < s.rest_until:
             return
-        want = len(s.held) * MOVE_GAIN * (load - MOVE_TO) / load
-        count = int(want + self.random())
-        s.rest_until = self.now + MOVE_REST * self._pace() * (0.5 + self.random())
+        # Guards against moves that no other server has room for: their clients would only be refused.
+        others = [(o.load or 0.0, o.unit) for o in self.ready if o is not s and o.unit > 0]
+        room = math.inf if s.silent else sum(max(0.0, ROOM_TO - full) / unit for full, unit in others)
+        room /= self.set.balancers
+        count = int(min(len(s.held) * MOVE_GAIN * (load - MOVE_TO) / load, room) + self.random())
+        s.rest_until = self.now + MOVE_REST * self._pace() * (0.75 + 0.5 * self.random())
         if count:
             # The least worth goes first, as where no server has room it is what will be refused, and the
             # smallest group, as with its last connection goes what the server pays for it.
@@ -692,7 +703,7 @@
             s.empty_by = self.now + last
             self.out.append(api.SetTimer(first + LEAVE_TICK * self.random(), f"e{s.name}"))
 
-    def _leaving(self, e: api.Leaving) -> None:
+    def _on_leaving(self, e: api.Leaving) -> None:
         """Condition: this proxy itself stops. All that it holds is moved by then, paced likewise."""
         if self.empty_by <= 0.0:
             self.empty_by = e.by
@@ -705,7 +716,7 @@
         self._move(held[: math.ceil(len(held) / rounds)])
         self.out.append(api.SetTimer(LEAVE_TICK, token))
 
-    def _note(self, e: api.Note) -> None:
+    def _on_note(self, e: api.Note) -> None:
         """Messages take long at a server: look at it."""
         s = self.servers.get(e.server)
         slow = e.message_delay is not None and self.by_probe and self.tokens > PROBES_KEPT
@@ -733,7 +744,7 @@
         if self.ticking:
             self.out.append(api.SetTimer(max(0.5, nearest) * (0.75 + 0.5 * self.random()), "look"))
 
-    def _timer(self, e: api.Timer) -> None:
+    def _on_timer(self, e: api.Timer) -> None:
         if e.token == "look":
             self._look()
         elif e.token == "list":
