Take figures, receipts and entries of a list only as the protocol has them

Seen by failing tests: one bad entry made a whole list unreadable; an address that can't be split raised inside a callback; nan, inf and negative figures of reports and LOAD went on to comparisons; a bare UP counted as served; a word too many on a probe connection was taken for the next probe's answer. A bad entry is counted and left out, and of a server that was told of before, the last word holds.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -178,7 +178,7 @@
 
     def _take_known(self) -> None:
         """The list of the configuration, to serve with until discovery has told one."""
-        known = [item.entry() for item in self.setup.config.known.servers]
+        known = self.setup.config.known.entries({}, self.stats)
         self.core.listing(api.ListKind.CACHED, known)
         if known:
             self.loop.call_later(READY_ANYWAY, self._get_ready)
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -525,7 +525,7 @@
             return
         r.standing = True
         s = r.server
-        s.failed, s.out_until = 0, 0.0
+        s.silent, s.failed, s.out_until = 0, 0, 0.0  # whatever its probes say, it serves
         self._hold(s, r)
         if s.phase is not api.Phase.READY:  # it began to drain while this one was set up
             self._empty(s)
--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import resource
 import socket
 from collections.abc import Callable
@@ -13,14 +14,17 @@
 from gradegap.interface import Result
 from gradegap.net.client_session import HIGH_WATER, ClientSession, Pausable, no_delay, reset
 from gradegap.net.descriptors import Descriptors
-from gradegap.net.framing import LONGEST, parse_report
+from gradegap.net.framing import LONGEST, figure, parse_report
 
 PROBE_IDLE = 20.0  # s until an idle probe connection is closed
+_UP = re.compile(rb"UP [!-~][ -~]*")
 END_WAIT = 0.9  # s that a backend may take to end its side once the client has ended its own
 
 
 def split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{address[:80]!r} is no address")
     return host.strip("[]"), int(port)
 
 
@@ -38,8 +42,6 @@
     ) -> Callable[[], None]:
         """Connect; `protocol` hears of it as usual, `failed` is called where it can't be done in time.
         Gives back what stops it."""
-        host, port = split_address(address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
         over = False
         sock: socket.socket | None = None
         timer: asyncio.TimerHandle | None = None
@@ -73,13 +75,15 @@
             self.made.put_nowait((sock, protocol))
 
         try:
+            host, port = split_address(address)
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
             sock = self.descriptors.dialed(family)
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.connect((host, port))
         except BlockingIOError:
             pass
-        except OSError:
+        except (OSError, ValueError, OverflowError):
             self.loop.call_soon(fail)
             return stop
         assert sock is not None
@@ -142,8 +146,9 @@
                 self._answer(Result.ERROR)
             return
         word = self.buffer[:end].rstrip(b"\r")
-        if word == b"UP" or word.startswith(b"UP "):
-            self.up = True
+        # Guards against half an answer, or noise, taken for the receipt that a server gives.
+        self.up = end < LONGEST and _UP.fullmatch(word) is not None
+        if self.up:
             self.session.join(self, self.buffer)
             self.buffer = b""
             self.attempt.up()
@@ -155,7 +160,7 @@
         """A line that went by on a standing connection."""
         if line.startswith(b"LOAD "):
             with contextlib.suppress(ValueError):
-                self.attempt.load(float(line[5:]) * 1e-6)
+                self.attempt.load(figure(line[5:].decode()) * 1e-6)
         else:
             self.said = None
             self._read_word(line)
@@ -248,6 +253,7 @@
         self.buffer = b""
 
     def ask(self, wait: float, done: ProbeDone) -> None:
+        self.buffer = b""  # what came unasked answers nothing
         self.waiting = done
         self.asked = False
         self.timer = self.loop.call_later(wait, self._late)
@@ -271,10 +277,12 @@
     def data_received(self, data: bytes) -> None:
         self.buffer += data
         end = self.buffer.find(b"\n")
-        if end < 0:
-            if len(self.buffer) >= LONGEST:
-                self._over(Result.ERROR)
-                self.close()
+        if end < 0 and len(self.buffer) < LONGEST:
+            return
+        if self.waiting is None or not 0 <= end < LONGEST:
+            # Guards against lines without end, and against a word too many taken for the next answer.
+            self.close()
+            self._over(Result.ERROR)
             return
         word, _, rest = self.buffer[:end].rstrip(b"\r").decode("utf-8", "replace").partition(" ")
         self.buffer = self.buffer[end + 1 :]
--- a/gradegap/net/director.py
+++ b/gradegap/net/director.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import math
 from collections.abc import Callable
+from ipaddress import ip_address
 from typing import cast
 
 import httptools
@@ -12,7 +15,7 @@
 
 from gradegap import interface as api
 from gradegap.core import Core
-from gradegap.net.backend import Dialer
+from gradegap.net.backend import Dialer, split_address
 from gradegap.stats import Stats
 
 log = structlog.get_logger()
@@ -36,7 +39,16 @@
     weight: float = 1.0
     started_ms: float = 0.0
 
-    def entry(self) -> tuple[api.ServerEntry, str]:
+    def entry(self) -> Entry:
+        """Guards against an entry that nothing can be done with, by a ValueError."""
+        if not self.id.isprintable() or not self.id:
+            raise ValueError("no id")
+        if not 0.0 <= self.weight < math.inf or not self.started_ms < math.inf:
+            raise ValueError("a figure out of range")
+        if self.addr:
+            ip_address(split_address(self.addr)[0])  # numbers only: there is no DNS to wait for
+        elif self.state == "Ready":
+            raise ValueError("no address")
         # A state of a later protocol takes nothing new: it is not Ready.
         phase = STATES.get(self.state, api.Phase.DRAINING)
         entry = api.ServerEntry(
@@ -45,10 +57,35 @@
         return entry, self.addr
 
 
+Entry = tuple[api.ServerEntry, str]
+
+
+class Named(msgspec.Struct):
+    id: str
+
+
 class Listing(msgspec.Struct):
     version: int = 0
     full: bool = True
-    servers: list[Item] = []
+    servers: list[msgspec.Raw] = []
+
+    def entries(self, last: dict[str, Entry], stats: Stats) -> list[Entry]:
+        """What the list tells, one by one. Guards against one bad entry that takes the whole list with it:
+        of such a server, what was told last is still true."""
+        told: list[Entry] = []
+        for raw in self.servers:
+            try:
+                told.append(msgspec.json.decode(raw, type=Item).entry())
+            except ValueError as error:  # msgspec's are of that kind
+                stats.count("list_items_bad")
+                log.warning("entry of the list ignored", error=str(error)[:200])
+                with contextlib.suppress(msgspec.MsgspecError):
+                    name = msgspec.json.decode(raw, type=Named).id
+                    told += [last[name]] if self.full and name in last else []
+        if self.full:
+            last.clear()
+        last.update((entry.server, (entry, address)) for entry, address in told)
+        return told
 
 
 class Director:
@@ -64,6 +101,7 @@
         self.first: Callable[[], None] | None = None
         self.call: Call | None = None
         self.again: asyncio.TimerHandle | None = None  # the next call, after one that failed
+        self.last: dict[str, Entry] = {}  # what was told of each
         self.decoder = msgspec.json.Decoder(Listing)
         stats.gauge("watch", lambda: {"version": self.version, "told": self.told})
 
@@ -107,7 +145,7 @@
         self.version = listing.version
         if listing.full or listing.servers:
             kind = api.ListKind.FULL if listing.full else api.ListKind.DELTA
-            self.core.listing(kind, [item.entry() for item in listing.servers])
+            self.core.listing(kind, listing.entries(self.last, self.stats))
         if not self.told:
             self.told = True
             if self.first is not None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 import signal
 import socket
@@ -9,6 +10,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -68,6 +70,9 @@
         ("reset", "BUSY", "fetch_reset"),
         ("MOVE", "BUSY", "fetch_cancelled"),
         ("BYE", "BUSY", "fetch_error"),
+        ("UP", "BUSY", "fetch_error"),  # no receipt: nothing was served
+        ("UP \x01", "BUSY", "fetch_error"),
+        ("UP " + "x" * 5000, "BUSY", "fetch_error"),
         ("silence", "BUSY", "fetch_timeout"),
     ],
 )
@@ -210,6 +215,44 @@
         assert all(any(0 <= at - answer < 0.2 for at in calls) for answer in answers)
 
 
+BAD_ENTRIES: list[dict[str, Any]] = [
+    {"id": "s-x", "addr": "nowhere", "state": "Ready"},
+    {"id": "s-x", "addr": "127.0.0.1:99999", "state": "Ready"},
+    {"id": "s-x", "addr": "some.host:80", "state": "Ready"},
+    {"id": "s-x", "state": "Ready"},
+    {"id": "s-x", "addr": "127.0.0.1:1", "weight": -1},
+    {"id": "s-x", "addr": "127.0.0.1:1", "weight": "heavy"},
+    {"id": "", "addr": "127.0.0.1:1"},
+    {"addr": "127.0.0.1:1"},
+]
+
+
+def test_bad_entries_of_a_list_don_t_take_the_good_ones_with_them(tmp_path: Path) -> None:
+    """One such entry once made the whole list unreadable, or raised where the backend was dialled."""
+    a, b, c = Backend("a"), Backend("b"), Backend("c")
+    with world(tmp_path, [a, c]) as w:
+        bad_c = c.entry | {"weight": None}  # what was told of it last still holds
+        listing = {"version": 9, "full": True, "servers": [*BAD_ENTRIES, b.entry, bad_c]}
+        body = json.dumps(listing).encode()
+        w.director.garbage.append(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        w.director.tell(a, weight=0.5)
+        wait_for(lambda: w.counters().get("list_items_bad") == str(len(BAD_ENTRIES) + 1))
+        assert {w.client().ask() for _ in range(20)} == {"UP b", "UP c"}
+
+
+def test_probes_that_answer_nonsense_leave_a_backend_in_use(tmp_path: Path) -> None:
+    loads = ["x0=nan,inflight=-1", "x0=1e999", "", "x0=0.1\r\nPONG x0=9.0", "x" * 5000]
+    made = [Backend(str(k), load=load) for k, load in enumerate(loads)]
+    with world(tmp_path, made) as w:
+        seen: set[str] = set()
+
+        def all_seen() -> bool:
+            seen.add(w.client().ask())
+            return len(seen) == len(loads)
+
+        wait_for(all_seen)
+
+
 @pytest.mark.parametrize(
     ("text", "named"),
     [
