Make fewer attempts while most fail wherever they go

Its view, logged twice a second: 134 connections moved in 2.5 s came back at 30 a second, each got four attempts at once, and every server answered ERR or nothing: 600 errors, 70 time-outs, 2 stood, for ten seconds. All servers share a save store that takes some eight times the usual rate; the attempts themselves kept it overrun. Lines at fault: _outcome and _draw, which try again at once however many fail. Checked: reload itself is clean, reports fresh, loads at 0.2 to 0.4, so neither discovery nor capacity. Now by the excess of failed attempts over those that stood a req waits a part of its aim, and is then told to come again.

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -1,7 +1,6 @@
 """Every decision of gradegap; its types, events and actions are in `interface.py`.
 
-A `Balancer` is one proxy. It is fed events with the clock and answers with actions; it does no
-I/O, reads no clock, and knows only what its own events told it.
+A `Balancer` is one proxy. It is fed events with the clock and answers with actions, and knows no more.
 
 The ordinary path, for every request: draw two ready servers uniformly; with probability beta keep
 the one with the lower last probed figure (ties at random), else keep the first draw, where
@@ -47,6 +46,7 @@
 LEAD_FROM, LEAD_TO = 0.75, 1.0  # parts of that lead between which its connections are moved
 GONE_TIME = 0.5  # s over which what is left on a server that is gone is moved
 LEAVE_LAG = 0.4  # s before a proxy that leaves begins to move: until then clients still come to it
+FEW = 1.0  # attempts a second that may fail beyond those that stand
 OUT_FROM = 2  # failures in a row from which a server is not drawn for a while
 OUT_FIRST, OUT_MOST = 0.5, 4.0  # s: the first such while, and the longest
 SILENT = 3  # probes in a row unanswered from which connections are moved away
@@ -58,8 +58,7 @@
 GUARD = 0.02  # s before a deadline at which a request that waits is answered
 ASK_SPREAD = 0.5  # part of ask_within over which proxies spread their first call to the list service
 RING_WALK = 8  # servers of the ring drawn from, before a group's request draws from the ready list
-TEAM_LOADS = 8.0  # mean connection loads that a group costs where we hold none of it: the three that its
-# server pays, and what the next of the group save by finding it there
+TEAM_LOADS = 8.0  # connection loads that a group adds where we hold none: 3 now, the rest for who follows
 RING_POINTS = 16  # points of a server on the ring from which groups draw
 COMPARED = ("x0", "util", "inflight")  # what is compared: the first that reports carry
 
@@ -77,9 +76,11 @@
         self.fast = self.fast * math.exp((self.at - now) / RATE_FAST) + 1 / RATE_FAST
         self.at = now
 
+    def late(self, now: float) -> float:
+        return self.fast * math.exp((self.at - now) / RATE_FAST)
+
     def get(self, now: float) -> float:
-        gone = self.at - now
-        return max(self.slow * math.exp(gone / RATE_SLOW), self.fast * math.exp(gone / RATE_FAST))
+        return max(self.slow * math.exp((self.at - now) / RATE_SLOW), self.late(now))
 
 
 @dataclass(slots=True, eq=False)
@@ -150,7 +151,7 @@
         self.born = NEVER
         self.usual = self.usual_at = 0.0
         self.began_with = 0
-        self.stood, self.came = _Rate(), _Rate()  # connections that stood, requests that came
+        self.stood, self.came, self.lost = _Rate(), _Rate(), _Rate()  # what stood, came, or failed once sent
         self.gaps, self.changes = REPORT_LAG, 1.0  # probed time and changed reports seen in it: their pace
         self.recent: deque[float] = deque()  # arrivals within fall_time
         self.tokens = PROBES_SAVED / 2
@@ -171,12 +172,9 @@
         self.field = next((f for f in COMPARED if f in settings.report_fields), "")
         self.top_worth = max(c.worth for c in settings.classes.values()) or 1.0
         self.use_ring = settings.groups or settings.passes
-        self.ring = self._make_ring()
-        self.cross = CROSSING * settings.cross_zone_price
-
-    def _make_ring(self) -> list[tuple[int, str]]:
         points = range(RING_POINTS) if self.use_ring else ()
-        return sorted((_hash(f"{s.name}#{i}"), s.name) for s in self.ready for i in points)
+        self.ring = sorted((_hash(f"{s.name}#{i}"), s.name) for s in self.ready for i in points)
+        self.cross = CROSSING * settings.cross_zone_price
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
         self.now = now
@@ -191,8 +189,7 @@
 
     def _on_serverlist(self, e: api.ServerList) -> None:
         if e.kind is api.ListKind.FAILED:
-            # Guards against a list service that drowns: every proxy's calls fail together, so each
-            # waits longer after every failure, by an amount of its own.
+            # Guards against a list service that drowns: each proxy waits longer after every failure.
             self.asking = False
             self.list_failures += 1
             self._ask_later(min(1.0, 0.1 * 2.0**self.list_failures) * (0.5 + self.random()))
@@ -285,6 +282,12 @@
         if r.bound is not None and self.now >= r.bound_until:
             self._give_up(r)
             return
+        # Condition: most attempts of late failed, wherever they went: what all servers share is overrun.
+        # Guards against attempts that keep it so: by the excess, some wait or are told to come again.
+        stood, lost = self.stood.late(self.now), self.lost.late(self.now)
+        if self.random() < (lost - stood - FEW) / (lost + stood + 1.0):
+            self._wait(r)
+            return
         for _ in range(1 + REDRAWS):
             a = self._pick(r, None)
             if a is None:
@@ -340,11 +343,9 @@
         """Condition: connections of one group share work on a server. The draws come from a ring that all
         proxies share, in one order for each group, so that its connections meet on few servers."""
         ring = self.ring
-        if not ring:  # switched off while this request was under way
-            return None
         if not r.walked:
             r.ring_at = bisect_right(ring, (_hash(r.ring_key), ""))
-        if len(r.walked) >= min(len(self.ready), RING_WALK):
+        if len(r.walked) >= min(len(self.ready), len(ring), RING_WALK):  # there is none after some reloads
             return None
         while True:
             s = self.servers[ring[r.ring_at % len(ring)][1]]
@@ -446,8 +447,7 @@
                 else:
                     keep = a if fa < fb else b
         if self.by_probe:
-            # Condition: what is kept of the pair is full, or costs as much with its crossing. Another pair
-            # is drawn and the lightest seen is kept.
+            # Condition: what is kept is full, or costs as much by crossing: draw again, keep the lightest.
             figure = self._figure(keep, r)
             best = r.best
             if best is not None and best.index >= 0 and best not in r.tried:
@@ -461,8 +461,7 @@
                     r.redraws += 1
                     self._draw(r)
                     return
-                # Condition: the lightest of all pairs drawn has no room. One more connection would spoil
-                # those it holds, so the client is told to come again later.
+                # Condition: no pair drawn has room. One more would spoil what is held: come again later.
                 if not room:
                     self._give_up(r)
                     return
@@ -567,6 +566,8 @@
         if s is not None and e.result not in (api.Result.FULL, api.Result.CANCELLED, api.Result.MOOT):
             s.failed += 1
             self._out(s, s.failed)
+            if e.result is not api.Result.CONNECT_FAILED:
+                self.lost.add(self.now)
         if e.result not in api.NEVER_RAN:
             r.maybe_ran = True
             if r.cls.repeat is api.Repeat.KEYED and r.bound is None and s is not None:
@@ -661,10 +662,7 @@
     def _relieve(self, s: _Server) -> None:
         """Condition: a server that holds our connections is near or over its capacity, or leaves several
         probes in a row unanswered while most others answer: what hangs or is cut off serves nobody.
-
-        A moved client is placed on the ordinary path, or refused there where no server has room. Every
-        proxy that holds some sees the same; each moves its part of the excess by chance, so that together
-        they move about the excess.
+        Every proxy sees the same, and each moves its own part of the excess.
         """
         load = s.load
         if s.silent:
