Let an attempt have all the time that is left while most fail

Lines at fault: _send, which keeps room for another attempt even where what all servers share is the slow part. A hanging server is told apart as before: it is passed by, and most attempts then stand.

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -282,10 +282,8 @@
         if r.bound is not None and self.now >= r.bound_until:
             self._give_up(r)
             return
-        # Condition: most attempts of late failed, wherever they went: what all servers share is overrun.
-        # Guards against attempts that keep it so: by the excess, some wait or are told to come again.
-        stood, lost = self.stood.late(self.now), self.lost.late(self.now)
-        if self.random() < (lost - stood - FEW) / (lost + stood + 1.0):
+        # Guards against attempts that keep it overrun: by the excess, some wait or are told to come again.
+        if self.random() < self._excess():
             self._wait(r)
             return
         for _ in range(1 + REDRAWS):
@@ -388,8 +386,7 @@
         """Whether a server has room for the connections that all proxies may be about to give it.
 
         Guards against a server with a little room that every proxy sees at once: each takes it with the
-        chance that makes them, together, fill the room and not more.
-        """
+        chance that makes them, together, fill the room and not more."""
         age = self.now - s.seen_at
         # Guards against frozen reports: one older than any delay says nothing of room, so trust the draw.
         if s.load is None or s.unit <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
@@ -467,11 +464,20 @@
                     return
         self._send(r, keep)
 
+    def _excess(self) -> float:
+        """Condition: most attempts of late failed, wherever they went: what all servers share is overrun."""
+        stood, lost = self.stood.late(self.now), self.lost.late(self.now)
+        return (lost - stood - FEW) / (lost + stood + 1.0)
+
     def _send(self, r: _Req, s: _Server) -> None:
         left = r.deadline - self.now
         tries_left = self.set.max_attempts - r.attempts
-        # Leave room for another attempt; the last one may use all that is left.
-        timeout = left if tries_left <= 1 else min(left, max(r.cls.aim, left / tries_left / 2))
+        # Leave room for another attempt; the last one, and one that would only repeat its cost, has all.
+        timeout = (
+            left
+            if tries_left <= 1 or self._excess() > 0
+            else min(left, max(r.cls.aim, left / tries_left / 2))
+        )
         r.attempts += 1
         r.out = True
         r.server = s
@@ -588,8 +594,7 @@
 
     def _on_inherited(self, e: api.Inherited) -> None:
         q = e.request
-        # Guards against a class that a reload took away while the connection was coming up.
-        cls = self.set.classes.get(q.cls) or next(iter(self.set.classes.values()))
+        cls = self.set.classes.get(q.cls) or next(iter(self.set.classes.values()))  # a reload took it
         r = _Req(q.id, cls, self.now, q.deadline_at)
         s = self._known(e.server)
         r.ring_key = self._key(q)
@@ -662,8 +667,7 @@
     def _relieve(self, s: _Server) -> None:
         """Condition: a server that holds our connections is near or over its capacity, or leaves several
         probes in a row unanswered while most others answer: what hangs or is cut off serves nobody.
-        Every proxy sees the same, and each moves its own part of the excess.
-        """
+        Every proxy sees the same, and each moves its own part of the excess."""
         load = s.load
         if s.silent:
             load = 2.0 if s.silent >= SILENT and self.answering > 0.5 else None
@@ -691,8 +695,7 @@
             self.out.append(api.Move(r.id))
 
     def _empty(self, s: _Server) -> None:
-        """Condition: a server drains or is gone. What stands there is told to move before it leaves, a few
-        at a time, so that the clients who come again don't arrive as one wave."""
+        """Condition: a server drains or is gone. What stands is moved before it leaves, not in one wave."""
         if s.drains_at <= 0.0:
             s.drains_at = self.now
             first, last = LEAD_FROM * self.lead, LEAD_TO * self.lead
@@ -766,8 +769,7 @@
                 self._draw(r)
 
     def _overdue(self, r: _Req) -> None:
-        """A probe of the pair is silent: one that answered wins over one that did not."""
-        assert r.pair is not None
+        assert r.pair is not None  # a probe of it is silent: one that answered wins over one that did not
         a, b = r.pair
         silent_a, silent_b = a.probing > NEVER, b.probing > NEVER
         if silent_a != silent_b:
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -345,3 +345,17 @@
                     out = d.stand(sends(out)[0])
         d.now += 4.0 if fails else 0.0
     assert sent[0] == 60 and sent[1] < 110 and sent[2] > 55
+
+
+def test_an_attempt_has_all_the_time_there_is_while_most_fail() -> None:
+    """Cut off after a part of it, each was made again and cost the store behind the servers once more."""
+    d = Driver(servers=4, balancers=1)
+    assert first_send(d).timeout < 1.0
+    for _ in range(10):
+        out = d.answer_probes(d.request(after=0.01), 0.05, 40.0)
+        while sends(out):
+            out = d.answer_probes(d.outcome(sends(out)[0], api.Result.TIMEOUT), 0.05, 40.0)
+    later: list[api.Send] = []
+    while not later:
+        later = sends(d.answer_probes(d.request(after=0.01), 0.05, 40.0))
+    assert later[0].timeout == pytest.approx(2.0)
