A console drains the node and takes save servers out by hand

Core.take_out/call_back lay a set of ids over any director's word (Core._lay): the module is told Draining, told_at stays through Ready entries, full lists, absence and restarts. Core.drain/stay: the module's Leaving, and Returned, which takes it back; PING is answered ERR in between and whatever comes to stand is moved.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -7,6 +7,7 @@
 import signal
 import zlib
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -19,10 +20,12 @@
 from gradegap.live import LiveConfig, is_count, is_level, is_switch, set_log_level
 from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
 from gradegap.net.client_session import TcpChannel
+from gradegap.net.console import CALLERS_MOST, DONE, Console, Done, Verdict
 from gradegap.net.descriptors import Descriptors
 from gradegap.net.director import Director, Listing
 from gradegap.operator_file import OperatorSettings, QuicSettings, StoreSettings
 from gradegap.stats import Stats
+from gradegap.store.snapshot import Snapshot
 from gradegap.store.sync import Replica
 from gradegap.store.versioned import Store
 
@@ -35,9 +38,12 @@
 LEAVE_MOVES = 2.6  # s from SIGTERM until the module has moved what stands
 LEAVE_AT_LEAST = 0.7  # s from SIGTERM during which clients may still come
 LEAVE_LAST = 3.0  # s from SIGTERM until whatever stands then is moved at once
+DRAIN_MOVES = 2.8  # s from the call out of service until nothing stands here
+MOST_OUT = 50  # save servers out by hand at once
 LEAVE_AT_MOST = 3.5  # s from SIGTERM until the end, short of the 3.7 s after which SIGKILL may come
 RELOADED = ("discovery", "limits", "known")  # what a reload changes, the settings beside
-FIXED = ("name", "listen", "seed")  # what lasts for the life of a process
+FIXED = ("name", "listen", "seed", "console")  # what lasts for the life of a process
+UNKNOWN = Verdict(HTTPStatus.NOT_FOUND, "no such save server")
 READY_ANYWAY = 2.0  # s after which a node with the list of its configuration serves without discovery
 
 
@@ -58,6 +64,7 @@
     listen: str
     discovery: str
     settings: dict[str, Any]
+    console: str = ""  # where operators call; none: nobody does
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
     known: Listing = msgspec.field(default_factory=Listing)
@@ -93,9 +100,12 @@
     config.name = os.environ.get("NODE_NAME") or config.name
     config.listen = os.environ.get("NODE_LISTEN") or config.listen
     config.discovery = os.environ.get("NODE_DISCOVERY") or config.discovery
-    for name, address in (("listen", config.listen), ("discovery", config.discovery)):
+    config.console = os.environ.get("NODE_CONSOLE") or config.console
+    for name in ("listen", "discovery", "console"):
+        address = getattr(config, name)
         try:
-            split_address(address)
+            if address or name != "console":
+                split_address(address)
         except ValueError:
             raise BadConfig(f"{name} is no address: {address!r}") from None
     try:
@@ -121,6 +131,15 @@
     return new
 
 
+def private_file(config: Config, kind: str) -> Path | None:
+    """A file of this node in the folder that is its own, whichever process serves; none without one."""
+    folder = os.environ.get("TMPDIR")
+    if not folder:
+        return None
+    tag = zlib.crc32(f"{config.name} {config.listen}".encode())
+    return Path(folder) / f"gradegap-{tag:08x}.{kind}"
+
+
 class Node:
     """One node: the core, its ports and its fronts on one loop."""
 
@@ -142,6 +161,9 @@
         self.channels: set[TcpChannel] = set()
         self.ready = False
         self.leaving = False
+        self.console: Console | None = None
+        self.snapshot = Snapshot(private_file(setup.config, "snapshot"), self.stats)
+        self.core.out_changed = self._keep_out
         self.done: asyncio.Future[None] = loop.create_future()
         self.server: asyncio.Server | None = None
         self.stats.gauge("open_sessions", lambda: len(self.channels))
@@ -160,22 +182,89 @@
         self._tell_state("starting")
         self.director.first = self._get_ready
         self._take_known()
+        self._take_snapshot()
         self.director.start()
         host, port = split_address(config.listen)
 
         def channel() -> TcpChannel:
-            return TcpChannel(self.core, self.stats, lambda: self.ready, self.channels, self.descriptors)
+            return TcpChannel(self.core, self.stats, self.admits, self.channels, self.descriptors)
 
         try:
             self.server = await self.loop.create_server(channel, host, port, backlog=1024)
         except OSError as error:
             raise BadConfig(f"can't listen on {config.listen}: {error.strerror}") from None
+        if config.console:
+            await self._start_console(config.console)
         if self.operator.quic is not None:
             await self._start_quic(self.operator.quic)
         if self.operator.store is not None:
             await self._start_store(self.operator.store)
         log.info("listening", name=config.name, address=config.listen)
 
+    async def _start_console(self, address: str) -> None:
+        self.descriptors.reserve(CALLERS_MOST)
+        self.console = Console(self, self.loop, self.stats)
+        try:
+            await self.console.start(*split_address(address))
+        except OSError as error:
+            raise BadConfig(f"the console can't listen on {address}: {error.strerror}") from None
+        log.info("listening", console=address)
+
+    # What operators ask for
+
+    def admits(self) -> bool:
+        """What PING is told: whether new clients are to come here."""
+        return self.ready and self.core.drained_by is None
+
+    def ask_ready(self, done: Done) -> None:
+        done(DONE if self.ready else Verdict(HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients"))
+
+    def take_out(self, server: str, done: Done) -> None:
+        if len(self.core.out) >= MOST_OUT and server not in self.core.out:
+            done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, f"{MOST_OUT} save servers are out already"))
+        else:
+            done(DONE if self.core.take_out(server) else UNKNOWN)
+
+    def call_back(self, server: str, done: Done) -> None:
+        done(DONE if self.core.call_back(server) else UNKNOWN)
+
+    def out_of_service(self, done: Done) -> None:
+        self.core.drain(DRAIN_MOVES)
+        self._state_changed(done)
+
+    def in_service(self, done: Done) -> None:
+        self.core.stay()
+        self._state_changed(done)
+
+    def _state_changed(self, done: Done) -> None:
+        if self.leaving:
+            done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, "this process is leaving"))
+            return
+        out = self.core.drained_by is not None
+        self.stats.count("calls_out_of_service" if out else "calls_in_service")
+        self._tell_state("out of service" if out else "ready" if self.ready else "starting")
+        done(DONE)
+
+    def _keep_out(self) -> None:
+        """The save servers out by hand, as this node's key of the store and in its snapshot."""
+        self.store.own(f"out/{self.setup.config.name}", dict(self.core.out))
+        self._write_snapshot()
+
+    def _write_snapshot(self) -> None:
+        entry = self.store.entries.get(f"out/{self.setup.config.name}")
+        self.snapshot.write([entry] if entry is not None else [])
+
+    def _take_snapshot(self) -> None:
+        """What a process of this node before this one was told by hand."""
+        self.store.merge(self.snapshot.read())
+        held = self.store.get(f"out/{self.setup.config.name}")
+        try:
+            out = msgspec.convert(held or {}, dict[str, float])
+        except msgspec.ValidationError:
+            return
+        for server, at in out.items():
+            self.core.take_out(server, at)
+
     def _take_known(self) -> None:
         """The list of the configuration, to serve with until discovery has told one."""
         known = self.setup.config.known.entries({}, self.stats)
@@ -188,7 +277,7 @@
         from gradegap.quic.front import QuicFront
 
         try:
-            self.quic = front = QuicFront(self.core, self.stats, lambda: self.ready, settings)
+            self.quic = front = QuicFront(self.core, self.stats, self.admits, settings)
             address = split_address(settings.listen)
             await self.loop.create_datagram_endpoint(lambda: front, local_addr=address)
         except (OSError, ValueError) as error:
@@ -267,6 +356,8 @@
             self._end()
 
     def _end(self) -> None:
+        if self.console is not None:
+            self.console.close()
         if self.server is not None:
             self.server.close()
         if self.quic is not None:
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -158,6 +158,7 @@
         self.ticking = False
         self.asking = False
         self.empty_by = 0.0  # this proxy leaves: all its connections are moved by then
+        self.leave_due = False  # a round of these moves is due
         self.lead = LEAD
         self.list_failures = 0
         self.answering = 1.0  # part of probes of late that were answered
@@ -217,10 +218,7 @@
             self.out.append(api.SetTimer(part * self.set.ask_within, "list"))
 
     def _known(self, name: str) -> _Server:
-        s = self.servers.get(name)
-        if s is None:
-            s = self.servers[name] = _Server(name)
-        return s
+        return self.servers.setdefault(name, _Server(name))
 
     def _entry(self, e: api.ServerEntry) -> None:
         s = self._known(e.server)
@@ -273,9 +271,7 @@
         self.came.add(now)
 
     def _key(self, e: api.Request) -> str:
-        if not self.use_ring:
-            return ""
-        return e.team or (e.key if self.set.passes else "")
+        return (e.team or (e.key if self.set.passes else "")) if self.use_ring else ""
 
     def _draw(self, r: _Req) -> None:
         """Draw a pair, and compare it now or when its probes are back."""
@@ -473,11 +469,8 @@
         left = r.deadline - self.now
         tries_left = self.set.max_attempts - r.attempts
         # Leave room for another attempt; the last one, and one that would only repeat its cost, has all.
-        timeout = (
-            left
-            if tries_left <= 1 or self._excess() > 0
-            else min(left, max(r.cls.aim, left / tries_left / 2))
-        )
+        last = tries_left <= 1 or self._excess() > 0
+        timeout = left if last else min(left, max(r.cls.aim, left / tries_left / 2))
         r.attempts += 1
         r.out = True
         r.server = s
@@ -706,10 +699,15 @@
 
     def _on_leaving(self, e: api.Leaving) -> None:
         """Condition: this proxy itself stops. All that it holds is moved by then, paced likewise."""
-        if self.empty_by <= 0.0:
-            self.empty_by = e.by
+        self.empty_by = min(self.empty_by or e.by, e.by)
+        if not self.leave_due:
+            self.leave_due = True
             self.out.append(api.SetTimer(min(LEAVE_LAG, max(0.0, e.by - self.now)), "leave"))
 
+    def _on_returned(self, e: api.Returned) -> None:
+        """Condition: this proxy stays after all, with what it still holds."""
+        self.empty_by = 0.0
+
     def _move_part(self, held: list[_Req], by: float, token: str) -> None:
         """Move a share of what is left, so that all are moved by then; the worthiest first."""
         rounds = max(1, int((by - self.now) / LEAVE_TICK))
@@ -751,8 +749,10 @@
         elif e.token == "list":
             self.out.append(api.WatchList())
         elif e.token == "leave":
-            every = [r for s in self.servers.values() for r in s.held.values()]
-            self._move_part(every, self.empty_by, e.token)
+            self.leave_due = self.empty_by > 0.0
+            if self.leave_due:
+                every = [r for s in self.servers.values() for r in s.held.values()]
+                self._move_part(every, self.empty_by, e.token)
         elif e.token[:1] == "e":
             s = self.servers.get(e.token[1:])
             if s is not None and s.drains_at > 0.0 and s.held:
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -84,6 +84,7 @@
     address: str = ""
     phase: api.Phase = api.Phase.GONE
     started_at: float = 0.0
+    told: api.ServerEntry | None = None  # the last that a director said of it, whatever is laid over that
     told_at: float = NEVER  # when this node was told that it drains or is gone
     least_delay: float = 9.0  # s, the shortest a message took: the way there and back
     noted_at: float = NEVER
@@ -179,6 +180,9 @@
         self.next_id = 1
         self.rng = random.Random(seed ^ 0x5EED)
         self.leaving = False
+        self.out: dict[str, float] = {}  # backends taken out by hand, with when
+        self.out_changed: Callable[[], None] | None = None
+        self.drained_by: float | None = None  # out of service: nothing stands here after this
         self.emptied: Callable[[], None] | None = None
         self.act: dict[type, Callable[[Any], None]] = {
             api.Send: self._send,
@@ -210,35 +214,72 @@
 
     def listing(self, kind: api.ListKind, entries: Iterable[tuple[api.ServerEntry, str]]) -> None:
         """The director's list: entries with the address of each backend."""
-        now = self.now()
         known = list(entries)
-        told: list[Backend] = []
         if kind is not api.ListKind.DELTA:
             named = {e.server for e, _ in known}
             for b in self.backends.values():
-                if b.id not in named and b.phase is not api.Phase.GONE:
-                    b.phase = api.Phase.GONE
-                    told.append(b)
+                if b.id not in named and b.told is not None and b.told.phase is not api.Phase.GONE:
+                    known.append((b.told._replace(phase=api.Phase.GONE), ""))
         for e, address in known:
             b = self.backends.setdefault(e.server, Backend(e.server))
-            if b.phase is api.Phase.READY and e.phase is not api.Phase.READY:
-                told.append(b)
-            elif e.phase is not api.Phase.READY and b.told_at == NEVER:
-                b.told_at = now
+            b.told = e
             if (address and address != b.address) or e.started_at > b.started_at:
                 # Guards against a probe connection to the process that ran there before.
                 self.port.forget(b)
                 b.least_delay = 9.0
             b.address = address or b.address
-            b.phase, b.started_at = e.phase, e.started_at
+            b.started_at = e.started_at
+        self._lay(kind, [e for e, _ in known])
+
+    def _lay(self, kind: api.ListKind, entries: list[api.ServerEntry]) -> None:
+        """Entries in force, for the module: who was taken out by hand drains, whatever else is said of it."""
+        now = self.now()
+        laid = []
+        for e in entries:
+            if e.phase is api.Phase.READY and e.server in self.out:
+                e = e._replace(phase=api.Phase.DRAINING)
+            laid.append(e)
+            b = self.backends[e.server]
+            was, b.phase = b.phase, e.phase
             if e.phase is api.Phase.READY:
                 b.told_at = NEVER
-        for b in told:
-            b.told_at = now
-            self._watch_grace(b)
-            if b.phase is api.Phase.GONE:
+            elif was is api.Phase.READY or b.told_at == NEVER:
+                b.told_at = self.out.get(e.server, now)
+                self._watch_grace(b)
+            if e.phase is api.Phase.GONE and was is not api.Phase.GONE:
                 self.port.forget(b)
-        self.feed(api.ServerList(kind, tuple(e for e, _ in known)))
+        self.feed(api.ServerList(kind, tuple(laid)))
+
+    def take_out(self, server: str, at: float | None = None) -> bool:
+        """Nothing more to this backend until the call back, whatever a director says of it in between.
+        Whether there is such a backend. `at` names when it was taken out, by a process before this one."""
+        if at is not None and server not in self.backends:
+            # Guards against a held backend that is not on the list now: it must not come back in service.
+            self.backends[server] = Backend(server, told=api.ServerEntry(server, phase=api.Phase.GONE))
+        b = self.backends.get(server)
+        if b is None or b.told is None:
+            return False
+        if server not in self.out:
+            self.out[server] = self.now() if at is None else at
+            self.stats.count("taken_out")
+            self._lay(api.ListKind.DELTA, [b.told])
+            self._out_changed()
+        return True
+
+    def call_back(self, server: str) -> bool:
+        """The backend is as it was last told again."""
+        b = self.backends.get(server)
+        if b is None or b.told is None:
+            return False
+        if self.out.pop(server, None) is not None:
+            self.stats.count("called_back")
+            self._lay(api.ListKind.DELTA, [b.told])
+            self._out_changed()
+        return True
+
+    def _out_changed(self) -> None:
+        if self.out_changed is not None:
+            self.out_changed()
 
     def _watch_grace(self, b: Backend) -> None:
         wait = self.settings.drain_grace - GRACE_MARGIN
@@ -504,6 +545,18 @@
             self.leaving = True
             self.feed(api.Leaving(self.now() + within))
 
+    def drain(self, within: float) -> None:
+        """This node is out of service: all that stands, or comes to, is moved, and it stays."""
+        if self.drained_by is None and not self.leaving:
+            self.drained_by = self.now() + within
+            self.feed(api.Leaving(self.drained_by))
+
+    def stay(self) -> None:
+        """It is in service again."""
+        if self.drained_by is not None and not self.leaving:
+            self.drained_by = None
+            self.feed(api.Returned())
+
     def move_all(self) -> None:
         """Guards against connections that still stand when the time to leave is over."""
         for req in list(self.reqs.values()):
@@ -534,6 +587,8 @@
         before the silence has lasted the seven seconds that the protocol allows."""
         self.loop.call_later(SWEEP, self._sweep)
         now = self.now()
+        if self.drained_by is not None and now > self.drained_by:
+            self.move_all()
         for req in list(self.reqs.values()):
             if req.standing and req.asked_at is not None and now - req.heard_at > SILENCE:
                 self.stats.count("silent")
--- a/gradegap/interface.py
+++ b/gradegap/interface.py
@@ -227,6 +227,10 @@
     by: float
 
 
+class Returned(NamedTuple):
+    """This proxy stays after all: `Leaving` is taken back."""
+
+
 Event = (
     ServerList
     | Request
@@ -238,6 +242,7 @@
     | Timer
     | ProbeResult
     | Leaving
+    | Returned
 )
 
 
--- a/gradegap/net/descriptors.py
+++ b/gradegap/net/descriptors.py
@@ -34,16 +34,21 @@
         self.limit = limit
         self.stats = stats
         self.held = 0
+        self.base = BASE
         # Dictionaries for their order: the oldest is the first.
         self.ranks: tuple[dict[Evictable, None], ...] = tuple({} for _ in Rank)
         stats.gauge("sockets", lambda: f"{self.held}/{self.limit}")
 
+    def reserve(self, count: int) -> None:
+        """Some more that only their owner uses, so that no client's flood shuts them out."""
+        self.base += count
+
     def accepted(self, channel: Evictable) -> None:
         """A client has connected. Guards against clients that connect and say nothing: they would take
         the descriptors that those who ask need."""
         self.held += 1
         self.rank(channel, Rank.UNOPENED)
-        self._make_way(self.limit - BASE - self.limit // DIALS)
+        self._make_way(self.limit - self.base - self.limit // DIALS)
 
     def rank(self, channel: Evictable, rank: Rank | None) -> None:
         """What a channel has come to; None: it is in use and stays."""
@@ -58,7 +63,7 @@
 
     def dialed(self, family: int) -> DialedSocket:
         """A socket to dial with."""
-        self._make_way(self.limit - BASE)
+        self._make_way(self.limit - self.base)
         return DialedSocket(self, family)
 
     def _make_way(self, most: int) -> None:
--- a/tests/world.py
+++ b/tests/world.py
@@ -216,7 +216,7 @@
         self.backends = backends
         self.director = Director([b.entry for b in backends])
         self.directors = [self.director]
-        self.address = f"127.0.0.1:{free_port()}"
+        self.address = str(config.get("listen") or f"127.0.0.1:{free_port()}")
         self.config = path = folder / "config.json"
         full = {"name": "n0", "listen": self.address, "discovery": self.director.address, "seed": "8c1f"}
         path.write_text(json.dumps(full | {"settings": SETTINGS} | config))
