A second process takes over listening socket, list, loads and standing sessions

Checked: the address was held by the first process, bound without SO_REUSEPORT (app.py, create_server), and nothing told the second one anything.

handover.py: the process that serves waits on a Unix socket under TMPDIR (renamed into place, of this user only). A second one is given the listening socket by SCM_RIGHTS, so no accept queue is lost; the backends with told_at, and their reports, which the module hears with their age; and what is out by hand. Once it takes clients, the first stops accepting and passes each session at rest with both sockets, 8 on their way at once. What is not at rest is looked at again until SIGTERM, then moved. Sessions of a backend that drains stay where they are and are moved there. Calls at either console are obeyed by both before the yes; each tells the other how many descriptors it holds. A successor that dies before it answered for a session leaves it here, and the first accepts again; a socket that nobody listens on is stale. QUIC and the store start when their ports are free.

Rejected: two listeners by SO_REUSEPORT (what waits in the first one's queue is reset when it ends; it is only the way for a second process that finds nobody), and moving all at the first's SIGTERM (each move costs, and the returns overrun the save store). The first stays until SIGTERM instead of ending at once, as nobody would be left if the second died.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -5,7 +5,9 @@
 import asyncio
 import os
 import signal
+import socket
 import zlib
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
@@ -17,6 +19,7 @@
 from gradegap import interface as api
 from gradegap import settings as reader
 from gradegap.core import Core
+from gradegap.handover import Handover
 from gradegap.live import LiveConfig, is_count, is_level, is_switch, set_log_level
 from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
 from gradegap.net.client_session import TcpChannel
@@ -39,6 +42,8 @@
 LEAVE_AT_LEAST = 0.7  # s from SIGTERM during which clients may still come
 LEAVE_LAST = 3.0  # s from SIGTERM until whatever stands then is moved at once
 DRAIN_MOVES = 2.8  # s from the call out of service until nothing stands here
+BACKLOG = 1024  # clients that may wait to be accepted
+PORT_RETRY = 0.1  # s between two tries at a port that the process before still holds
 MOST_OUT = 50  # save servers out by hand at once
 LEAVE_AT_MOST = 3.5  # s from SIGTERM until the end, short of the 3.7 s after which SIGKILL may come
 RELOADED = ("discovery", "limits", "known")  # what a reload changes, the settings beside
@@ -131,6 +136,21 @@
     return new
 
 
+def listen(host: str, port: int) -> socket.socket:
+    """The clients' listening socket. Shared, so that a process which could not be passed it starts all the
+    same; only processes of the same user can share it."""
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def private_file(config: Config, kind: str) -> Path | None:
     """A file of this node in the folder that is its own, whichever process serves; none without one."""
     folder = os.environ.get("TMPDIR")
@@ -162,8 +182,12 @@
         self.ready = False
         self.leaving = False
         self.console: Console | None = None
+        self.again: asyncio.Task[None] | None = None
+        self.late: list[asyncio.Task[None]] = []  # ports that wait for the process before to leave them
         self.snapshot = Snapshot(private_file(setup.config, "snapshot"), self.stats)
         self.core.out_changed = self._keep_out
+        self.handover = Handover(self, private_file(setup.config, "sock"))
+        self.listening: socket.socket | None = None  # kept beside the one accepted from, to pass on
         self.done: asyncio.Future[None] = loop.create_future()
         self.server: asyncio.Server | None = None
         self.stats.gauge("open_sessions", lambda: len(self.channels))
@@ -181,25 +205,68 @@
         self.live.key("log_level", is_level, set_log_level, "info")
         self._tell_state("starting")
         self.director.first = self._get_ready
-        self._take_known()
+        following = await self.handover.follow()
+        if not following:
+            self._take_known()
         self._take_snapshot()
         self.director.start()
-        host, port = split_address(config.listen)
-
-        def channel() -> TcpChannel:
-            return TcpChannel(self.core, self.stats, self.admits, self.channels, self.descriptors)
-
         try:
-            self.server = await self.loop.create_server(channel, host, port, backlog=1024)
+            self.listening = self.listening or listen(*split_address(config.listen))
         except OSError as error:
             raise BadConfig(f"can't listen on {config.listen}: {error.strerror}") from None
         if config.console:
             await self._start_console(config.console)
+        await self._accept()
+        if following:
+            self._get_ready()  # the list that it was told is the one in force
+        self.handover.serves()
         if self.operator.quic is not None:
-            await self._start_quic(self.operator.quic)
+            await self._when_free(self._start_quic, self.operator.quic, following)
         if self.operator.store is not None:
-            await self._start_store(self.operator.store)
-        log.info("listening", name=config.name, address=config.listen)
+            await self._when_free(self._start_store, self.operator.store, following)
+        log.info("listening", name=config.name, address=config.listen, following=following)
+
+    def channel(self) -> TcpChannel:
+        return TcpChannel(self.core, self.stats, self.admits, self.channels, self.descriptors)
+
+    async def _accept(self) -> None:
+        if self.listening is not None and self.server is None:
+            own = self.listening.dup()
+            self.server = await self.loop.create_server(self.channel, sock=own, backlog=BACKLOG)
+
+    def accept_again(self) -> None:
+        # One task, where the process that took over has died.
+        self.again = self.loop.create_task(self._accept())
+
+    def stop_accepting(self) -> None:
+        """Another process accepts from the same socket: what waits in its queue is not lost."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def _when_free(
+        self, start: Callable[[Any], Awaitable[None]], settings: Any, following: bool
+    ) -> None:
+        """Start a front or the store, at once or as soon as the process before has left its port."""
+        try:
+            await start(settings)
+        except BadConfig as error:
+            if not following:
+                raise
+            log.info("waits until the process before has left", reason=str(error))
+            self.late.append(self.loop.create_task(self._when_left(start, settings)))
+
+    async def _when_left(self, start: Callable[[Any], Awaitable[None]], settings: Any) -> None:
+        while not self.leaving:
+            alone = self.handover.link is None
+            await asyncio.sleep(PORT_RETRY)
+            try:
+                return await start(settings)
+            except BadConfig as error:
+                if alone:
+                    self.stats.count("ports_not_free")
+                    log.error("not started", error=str(error))
+                    return
 
     async def _start_console(self, address: str) -> None:
         self.descriptors.reserve(CALLERS_MOST)
@@ -223,27 +290,43 @@
         if len(self.core.out) >= MOST_OUT and server not in self.core.out:
             done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, f"{MOST_OUT} save servers are out already"))
         else:
-            done(DONE if self.core.take_out(server) else UNKNOWN)
+            self._both("out", server, done) if self.core.take_out(server) else done(UNKNOWN)
 
     def call_back(self, server: str, done: Done) -> None:
-        done(DONE if self.core.call_back(server) else UNKNOWN)
+        self._both("back", server, done) if self.core.call_back(server) else done(UNKNOWN)
+
+    def _both(self, what: str, server: str, done: Done) -> None:
+        """Yes, once it is in force in each process of this node."""
+        self.handover.order(what, server, lambda: done(DONE))
+
+    def obey(self, what: str, server: str) -> None:
+        """A call that the other process was asked for."""
+        match what:
+            case "out":
+                self.core.take_out(server)
+            case "back":
+                self.core.call_back(server)
+            case "drain":
+                self.core.drain(DRAIN_MOVES)
+            case "stay":
+                self.core.stay()
 
     def out_of_service(self, done: Done) -> None:
         self.core.drain(DRAIN_MOVES)
-        self._state_changed(done)
+        self._state_changed("drain", done)
 
     def in_service(self, done: Done) -> None:
         self.core.stay()
-        self._state_changed(done)
+        self._state_changed("stay", done)
 
-    def _state_changed(self, done: Done) -> None:
-        if self.leaving:
+    def _state_changed(self, what: str, done: Done) -> None:
+        if self.leaving and self.handover.link is None:
             done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, "this process is leaving"))
             return
         out = self.core.drained_by is not None
         self.stats.count("calls_out_of_service" if out else "calls_in_service")
         self._tell_state("out of service" if out else "ready" if self.ready else "starting")
-        done(DONE)
+        self._both(what, "", done)
 
     def _keep_out(self) -> None:
         """The save servers out by hand, as this node's key of the store and in its snapshot."""
@@ -342,13 +425,16 @@
         self.ready = False
         self._tell_state("leaving")
         self.core.leave(LEAVE_MOVES)
-        self.loop.call_later(LEAVE_AT_LEAST, self._look_empty)
+        at_least = 0.0 if self.handover.gave_way else LEAVE_AT_LEAST
+        self.loop.call_later(at_least, self._look_empty)
         self.loop.call_later(LEAVE_LAST, self.core.move_all)
         self.loop.call_later(LEAVE_AT_MOST, self._end)
 
     def _look_empty(self) -> None:
         # Idle connections of a front don't hold the node; answers on their way out do.
         answering = any(c.session.opening for c in self.channels)
+        passing = self.handover.gave_way and self.handover.link is not None
+        answering = answering or (passing and bool(self.channels))
         answering = answering or (self.quic is not None and self.quic.answering())
         if self.core.reqs or answering:
             self.loop.call_later(0.05, self._look_empty)
@@ -356,8 +442,11 @@
             self._end()
 
     def _end(self) -> None:
+        self.handover.close()
         if self.console is not None:
             self.console.close()
+        if self.listening is not None:
+            self.listening.close()
         if self.server is not None:
             self.server.close()
         if self.quic is not None:
@@ -371,7 +460,7 @@
         log.info("counters", **self.stats.snapshot())
 
 
-SIGNALS = (signal.SIGTERM, signal.SIGHUP)
+SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
 
 
 def hold_signals() -> None:
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -597,6 +597,7 @@
             self._empty(s)
         self.reqs[r.id] = r
         self.began_with += 1
+        self.usual += 1.0  # it is in the reports already
         self._start_ticking()
 
     # Probes, and moving what stands on a full server
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -86,6 +86,8 @@
     started_at: float = 0.0
     told: api.ServerEntry | None = None  # the last that a director said of it, whatever is laid over that
     told_at: float = NEVER  # when this node was told that it drains or is gone
+    report: Mapping[str, float] | None = None  # the last that a probe brought, and when
+    report_at: float = NEVER
     least_delay: float = 9.0  # s, the shortest a message took: the way there and back
     noted_at: float = NEVER
     connecting: set[Attempt] = field(default_factory=set)  # nothing written yet
@@ -117,8 +119,11 @@
         if self.asked_at is None:
             self.asked_at = self.core.now()
 
-    def heard(self) -> None:
-        self.core.heard(self)
+    def heard(self, line: bool = True) -> None:
+        """Something came back; a whole line of it, or a part."""
+        self.heard_at = self.core.now()
+        if line:
+            self.core.heard(self)
 
 
 @dataclass(slots=True, eq=False)
@@ -226,7 +231,7 @@
             if (address and address != b.address) or e.started_at > b.started_at:
                 # Guards against a probe connection to the process that ran there before.
                 self.port.forget(b)
-                b.least_delay = 9.0
+                b.least_delay, b.report = 9.0, None
             b.address = address or b.address
             b.started_at = e.started_at
         self._lay(kind, [e for e, _ in known])
@@ -442,6 +447,8 @@
 
         def done(result: api.Result, report: Mapping[str, float] | None) -> None:
             self.stats.count(f"probe_{result.name.lower()}")
+            if b is not None and report is not None:
+                b.report, b.report_at = report, self.now()
             self.feed(api.ProbeResult(a.server, result, self.now() - began, report))
 
         if b is None or not self.may_send(b):
@@ -537,6 +544,55 @@
             req.session.fail()
             self._drop(req)
 
+    # What another process of this node has passed on
+
+    def told_before(self, told: Mapping[str, float]) -> None:
+        """When backends that drain or are gone were told to: a grace doesn't begin again."""
+        for server, at in told.items():
+            b = self.backends[server]
+            if b.told_at != NEVER:
+                b.told_at = min(b.told_at, at)
+
+    def recall(self, at: float, server: str, report: Mapping[str, float]) -> None:
+        """A report that came at `at`; the module hears of it with its age."""
+        b = self.backends[server]
+        b.report, b.report_at = report, at
+        event = api.ProbeResult(server, api.Result.OK, 0.0, report)
+        for action in self.balancer.handle(min(at, self.now()), event):
+            self.act[type(action)](action)
+
+    def adopt(
+        self, session: SessionPort, ask: Ask, server: str, heard_at: float, asked_at: float | None
+    ) -> Req | None:
+        """A session that stands already at a backend of the list; None where it can't stand here."""
+        b = self.backends.get(server)
+        if b is None or b.phase is api.Phase.GONE or (ask.id and ask.id in self.open_ids):
+            return None
+        now = self.now()
+        req = Req(self, self.next_id, ask, session, now, standing=True, answered=True)
+        req.heard_at = min(heard_at, now)
+        req.asked_at = asked_at
+        req.attempt = Attempt(req, b, 0, now, 0.0)
+        self.next_id += 1
+        self.reqs[req.id] = req
+        if ask.id:
+            self.open_ids.add(ask.id)
+        self.stats.count("adopted")
+        self.feed(api.Inherited(self._request(req), b.id))
+        return req
+
+    def gave(self, req: Req) -> None:
+        """A standing session is another process's from now on."""
+        attempt = req.attempt
+        if attempt is not None:
+            attempt.live = False
+            req.attempt = None
+            req.standing = False
+            self._drop(req)
+            spent = self.now() - attempt.began
+            result = api.Result.CANCELLED
+            self.feed(api.Outcome(req.id, attempt.number, attempt.backend.id, result, spent, True))
+
     # Leaving
 
     def leave(self, within: float) -> None:
@@ -566,7 +622,6 @@
 
     def heard(self, req: Req) -> None:
         now = self.now()
-        req.heard_at = now
         asked, req.asked_at = req.asked_at, None
         if asked is None or req.attempt is None:
             return
--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -124,10 +124,12 @@
         self.transport = cast(asyncio.Transport, transport)
         # Guards against a first line for an attempt given up while it was connecting.
         if self.over or not self.attempt.live or self.session.opening is None:
-            self.transport.abort()
+            self.transport.close() if self.up else self.transport.abort()
             return
         self.transport.set_write_buffer_limits(HIGH_WATER)
         no_delay(self.transport)
+        if self.up:
+            return  # taken over: it stands already
         left = self.wait - (self.attempt.req.core.now() - self.attempt.began)
         self.sent = True
         self.attempt.wrote()
@@ -214,6 +216,12 @@
 
     # The pipe of a standing session
 
+    def at_rest(self) -> bool:
+        """Whether nothing is on its way out, and both sides are open: another process can take over."""
+        t = self.transport
+        rests = t is not None and not t.is_closing() and t.get_write_buffer_size() == 0
+        return rests and not self.over and not self.paused and not self.eof_sent
+
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.over and not self.eof_sent:
             self.transport.write(data)
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -87,7 +87,8 @@
         if self.closed:
             return
         if self.standing and self.pipe is not None:
-            if self.req is not None:
+            # Whole lines only: nothing comes back for a part of one, from a client that writes slowly.
+            if self.req is not None and b"\n" in data:
                 self.req.asked()
             self.pipe.write(data)
             return
@@ -96,7 +97,7 @@
             self.buffer += data
             self._first_lines()
             if pinged and self.buffer and self.opening is None and not self.closed:
-                self._wait(FIRST_LINE_WAIT)  # a line has begun
+                self.wait(FIRST_LINE_WAIT)  # a line has begun
         else:
             self.buffer += data
             if self._asks_more() and self.req is not None:
@@ -135,10 +136,16 @@
         if not self.closed:
             self.refuse(after)
 
-    def _wait(self, length: float) -> None:
+    def wait(self, length: float) -> None:
+        self.unwait()
+        self.timer = self.core.loop.call_later(length, self._late)
+
+    def unwait(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.core.loop.call_later(length, self._late)
+
+    def time_left(self) -> float:
+        return 0.0 if self.timer is None else max(0.0, self.timer.when() - self.core.loop.time())
 
     def _late(self) -> None:
         """Guards against clients that say nothing, or half a line, and hold what others need."""
@@ -168,7 +175,7 @@
                 if not self.buffer:
                     self.idle = True
                     self.channel.pinged()
-                    self._wait(PING_IDLE)
+                    self.wait(PING_IDLE)
                 continue
             try:
                 self.opening = opening = parse_opening(line)
@@ -178,8 +185,7 @@
             except (BadLine, Unfit) as error:
                 self._bad(str(error))
                 return
-            if self.timer is not None:
-                self.timer.cancel()
+            self.unwait()
             if not self.closed:  # it may have been refused at once
                 self.channel.opened()
 
@@ -261,7 +267,7 @@
         self.watch.feed(data)
         self.channel.write(data)
         if self.req is not None:
-            self.req.heard()
+            self.req.heard(b"\n" in data)
 
     def _passed(self, line: bytes) -> None:
         if self.pipe is not None:
@@ -269,9 +275,7 @@
 
     def _shut(self, ending: Ending) -> None:
         self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self.unwait()
         self.buffer.clear()
         self.channel.close(ending)
 
@@ -311,6 +315,10 @@
         self.closing = False
         self.close_by = 0.0
         self.last: asyncio.TimerHandle | None = None  # what ends a connection that lingers
+        self.adopted = False  # taken over from another process; until it is made, what it is to say is kept
+        self.early = bytearray()
+        self.ending: Ending | None = None
+        self.gone = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -318,6 +326,25 @@
         no_delay(self.transport)
         self.live.add(self)
         self.descriptors.accepted(self)
+        if self.adopted:
+            self._made_adopted()
+
+    def _made_adopted(self) -> None:
+        if self.session.idle:
+            self.pinged()
+        elif self.session.opening is not None:
+            self.opened()
+        if self.early:
+            self.write(bytes(self.early))
+            self.early.clear()
+        if self.ending is not None:
+            self.close(self.ending)
+
+    def at_rest(self) -> bool:
+        """Whether nothing is on its way out, and both sides are open: another process can take over."""
+        t = self.transport
+        rests = t is not None and not t.is_closing() and t.get_write_buffer_size() == 0
+        return rests and not self.closing and not self.paused
 
     def pinged(self) -> None:
         self.descriptors.rank(self, Rank.PINGED)
@@ -358,6 +385,7 @@
         if self.last is not None:
             self.last.cancel()
         self.transport = None
+        self.gone = True
         self.session.lost(reset=exc is not None)
 
     def pause_writing(self) -> None:
@@ -369,9 +397,13 @@
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.closing:
             self.transport.write(data)
+        elif self.adopted and not self.gone and not self.closing and self.ending is None:
+            self.early += data
 
     def close(self, ending: Ending) -> None:
         transport = self.transport
+        if transport is None and self.adopted and not self.gone:
+            self.ending = self.ending or ending
         if transport is None or self.closing:
             return
         self.resume()
--- a/gradegap/net/descriptors.py
+++ b/gradegap/net/descriptors.py
@@ -35,6 +35,7 @@
         self.stats = stats
         self.held = 0
         self.base = BASE
+        self.beside = 0  # what another process of this node holds: both have one limit
         # Dictionaries for their order: the oldest is the first.
         self.ranks: tuple[dict[Evictable, None], ...] = tuple({} for _ in Rank)
         stats.gauge("sockets", lambda: f"{self.held}/{self.limit}")
@@ -43,12 +44,19 @@
         """Some more that only their owner uses, so that no client's flood shuts them out."""
         self.base += count
 
+    def own(self) -> int:
+        """What this process holds, its reserve included."""
+        return self.held + self.base
+
+    def accepted_again(self, channel: Evictable, pinged: bool) -> None:
+        self.rank(channel, Rank.PINGED if pinged else Rank.UNOPENED)
+
     def accepted(self, channel: Evictable) -> None:
         """A client has connected. Guards against clients that connect and say nothing: they would take
         the descriptors that those who ask need."""
         self.held += 1
         self.rank(channel, Rank.UNOPENED)
-        self._make_way(self.limit - self.base - self.limit // DIALS)
+        self._make_way(self.limit - self.base - self.beside - self.limit // DIALS)
 
     def rank(self, channel: Evictable, rank: Rank | None) -> None:
         """What a channel has come to; None: it is in use and stays."""
@@ -63,7 +71,7 @@
 
     def dialed(self, family: int) -> DialedSocket:
         """A socket to dial with."""
-        self._make_way(self.limit - self.base)
+        self._make_way(self.limit - self.base - self.beside)
         return DialedSocket(self, family)
 
     def _make_way(self, most: int) -> None:
@@ -83,8 +91,8 @@
 
     owner: Descriptors | None = None
 
-    def __init__(self, owner: Descriptors, family: int) -> None:
-        super().__init__(family, socket.SOCK_STREAM)
+    def __init__(self, owner: Descriptors, family: int, fileno: int | None = None) -> None:
+        super().__init__(family, socket.SOCK_STREAM, fileno=fileno)
         self.owner = owner
         owner.held += 1
 
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,178 @@
+"""A second process of a node takes the place of the first, while clients stay connected."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from tests.test_console import call, served
+from tests.world import BUSY_MACHINE, Backend, World, free_port, wait_for, world
+
+
+@contextmanager
+def second(w: World, shared: Path | None = None) -> Iterator[tuple[World, str]]:
+    """The platform starts the program once more, with another console and all else the same."""
+    console = f"127.0.0.1:{free_port()}"
+    folder = w.config.parent / "second"
+    folder.mkdir()
+    extra = {"TMPDIR": str(shared or w.config.parent), "NODE_DISCOVERY": w.director.address}
+    with world(folder, w.backends, env=extra, console=console, listen=w.address) as n:
+        yield n, console
+
+
+def ready(console: str) -> bool:
+    try:
+        return call(console, "ready", "GET") == 200
+    except OSError:
+        return False
+
+
+def test_clients_stay_connected_while_a_process_takes_over(tmp_path: Path) -> None:
+    """The second process once ended, as the address was taken, and the first cut off what it held."""
+    a, b = Backend("a"), Backend("b")
+    with served(tmp_path, [a, b]) as (w, old):
+        standing = [w.client() for _ in range(30)]
+        for c in standing:
+            assert c.ask().startswith("UP")
+        opens = len(a.opens) + len(b.opens)
+        door, kept, part, slow = (w.client() for _ in range(4))
+        kept.send("PING")
+        assert kept.line() == "PONG"
+        part.send(b"OPEN p1 k c=live,")
+        standing[0].send(b"half a ")
+        wait_for(lambda: int(w.counters()["open_sessions"]) >= 34)
+        a.answer = b.answer = "silence"
+        slow.send(b"OPEN p2 k c=live,d=1500\r\n")
+        wait_for(lambda: len(a.opens) + len(b.opens) > opens)
+        with second(w) as (n, new):
+            wait_for(lambda: ready(new))
+            wait_for(lambda: n.counters().get("taken_over_standing") == "30")
+            assert slow.line().startswith("BUSY")  # by the process that took it
+            a.answer = b.answer = "UP {name}"
+            standing[0].send(b"line\r\n")
+            assert standing[0].line() == "half a line"
+            for c in standing:
+                c.send("still there")
+                assert c.line() == "still there"
+            part.send(b"d=1500\r\n")
+            kept.send("PING")
+            assert kept.line() == "PONG"
+            for c in (door, kept):
+                assert c.ask().startswith("UP")
+            assert part.line().startswith("UP")
+            assert w.client().ask().startswith("UP")
+            w.process.terminate()
+            assert w.process.wait(5) == 0
+            for c in [*standing, door, kept, part]:
+                c.send("and now")
+                assert c.line() == "and now"
+            assert len([x for x in a.lines + b.lines if x[1].startswith("OPEN")]) <= opens + 8
+            # What ends on either side ends on the other.
+            standing[1].sock.shutdown(socket.SHUT_WR)
+            assert standing[1].line() == ""
+            n.process.send_signal(signal.SIGTERM)
+            assert [door.line(), door.line()] == ["MOVE", ""]
+            assert n.process.wait(5) == 0
+
+
+def test_a_third_process_follows_the_second(tmp_path: Path) -> None:
+    with served(tmp_path, [Backend("a")]) as (w, _):
+        c = w.client()
+        assert c.ask() == "UP a"
+        with second(w) as (n, new):
+            wait_for(lambda: ready(new))
+            wait_for(lambda: n.counters().get("taken_over_standing") == "1")
+            w.process.terminate()
+            assert w.process.wait(5) == 0
+            with second(n, tmp_path) as (m, console):
+                wait_for(lambda: ready(console))
+                wait_for(lambda: m.counters().get("taken_over_standing") == "1")
+                n.process.terminate()
+                assert n.process.wait(5) == 0
+                c.send("here")
+                assert c.line() == "here"
+
+
+@pytest.mark.parametrize("at_first", [True, False])
+def test_a_call_at_either_console_binds_both(tmp_path: Path, at_first: bool) -> None:
+    a, b = Backend("a"), Backend("b")
+    with served(tmp_path, [a, b]) as (w, old):
+        assert call(old, "save-servers/s-a/offline") == 200
+        with second(w) as (n, new):
+            wait_for(lambda: w.counters().get("handovers") == "1")
+            here = old if at_first else new
+            assert {w.client().ask(f"c=live,d=900,g={k}") for k in range(8)} == {"UP b"}
+            assert call(here, "save-servers/s-a/online") == 200
+            assert call(here, "save-servers/s-b/offline") == 200
+            assert {w.client().ask(f"c=live,d=900,g={k}") for k in range(8)} == {"UP a"}
+            assert call(here, "out-of-service") == 200
+            c = w.client()
+            c.send("PING")
+            assert c.line() == "ERR"
+            assert call(here, "in-service") == 200 and w.ready()
+
+
+@pytest.mark.parametrize("when", ["before", "after"])
+def test_the_first_serves_again_when_its_successor_dies(tmp_path: Path, when: str) -> None:
+    with served(tmp_path, [Backend("a")]) as (w, old):
+        c = w.client()
+        assert c.ask() == "UP a"
+        with second(w) as (n, new):
+            if when == "after":
+                wait_for(lambda: w.counters().get("passed_on_standing") == "1")
+            n.process.kill()
+            n.process.wait()
+            wait_for(lambda: w.ready() and w.client().ask() == "UP a")
+            assert ready(old)
+            with pytest.raises(AssertionError):
+                n.ready()
+            n.process.returncode = 0
+        if when == "before":
+            assert c.quiet(0.1) or c.line() == ""
+
+
+def test_the_second_goes_on_when_the_first_dies(tmp_path: Path) -> None:
+    a = Backend("a")
+    with served(tmp_path, [a]) as (w, _):
+        c = w.client()
+        assert c.ask() == "UP a"
+        with second(w) as (n, new):
+            wait_for(lambda: ready(new))
+            wait_for(lambda: n.counters().get("taken_over_standing") == "1")
+            w.process.kill()
+            w.process.wait()
+            c.send("here")
+            assert c.line() == "here"
+            assert n.client().ask() == "UP a" and ready(new)
+            w.process.returncode = 0
+
+
+def test_a_socket_that_nobody_listens_on_is_stale(tmp_path: Path) -> None:
+    with served(tmp_path, [Backend("a")]) as (w, _):
+        pass
+    (left,) = tmp_path.glob("*.sock")
+    assert left.is_socket()
+    with served(tmp_path, [Backend("a")], listen=w.address) as (n, console):
+        assert n.client().ask() == "UP a" and ready(console)
+
+
+def test_a_drain_is_kept_over_a_handover(tmp_path: Path) -> None:
+    """The process that passes its sessions on keeps those of a server that leaves, and moves them itself."""
+    a, b = Backend("a"), Backend("b")
+    with served(tmp_path, [a]) as (w, old):
+        c = w.client()
+        assert c.ask() == "UP a"
+        assert call(old, "save-servers/s-a/offline") == 200
+        began = time.monotonic()
+        with second(w) as (n, _):
+            assert c.line() == "MOVE"
+            assert time.monotonic() - began < 4.0 + BUSY_MACHINE
+            count = len(a.opens)
+            assert n.client().ask("c=live,d=900").startswith("BUSY") and len(a.opens) == count
+    del b
