Returns of another node's clients are no growth; a server out by hand is emptied in its grace

Checked by logging each refusal with loads, growth and arrivals, and each end with its cause. Ruled out: the save store (no failed attempts, excess below 0), reports (0.1 to 0.9 s old), cold servers. At fault: - _growth held clients moved off the other node for new load on top of the reports (factor 1.3 to 2.0), and came counted each of their refused tries (up to 86 a second). Now returns beyond what was moved or broke here itself (owed) raise the usual number when they stand, and count as arrivals then. - _empty moved between 2.7 and 3.6 s after word of a drain; operators restart a server sooner. A save server out by hand is told with leaves_in, the drain grace, and is emptied from 0.1 to 1.6 s.

A req keeps the attempts of the settings that it came under, in the core and in the module.

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -44,6 +44,7 @@
 LEAVE_TICK = 0.1  # s between two rounds of moves off what leaves
 LEAD = 3.6  # s that a server told to drain is held to stay, until one was seen to stop sooner
 LEAD_FROM, LEAD_TO = 0.75, 1.0  # parts of that lead between which its connections are moved
+SOON_FROM, SOON_TO = 0.05, 0.8  # the same where it is told how soon the server may stop
 GONE_TIME = 0.5  # s over which what is left on a server that is gone is moved
 LEAVE_LAG = 0.4  # s before a proxy that leaves begins to move: until then clients still come to it
 FEW = 1.0  # attempts a second that may fail beyond those that stand
@@ -105,6 +106,7 @@
     failed: int = 0  # attempts in a row that came to nothing there
     out_until: float = 0.0  # not drawn before, where others can be
     rest_until: float = 0.0  # no moves off it before
+    leaves_in: float = 0.0  # s that it stays once it is told to drain; 0: not told
     drains_at: float = 0.0  # when we were told that it drains or is gone; 0: it does not
     empty_by: float = 0.0  # all our connections are moved off it by then
     held: dict[int, _Req] = field(default_factory=dict)  # own standing connections
@@ -118,6 +120,8 @@
     cls: api.ClassSettings
     arrived: float
     deadline: float
+    most: int = 1  # attempts, by the settings that it came under
+    again: bool = False  # it stood before, here or at another proxy
     ring_key: str = ""  # what places it on the ring; none: it draws from the ready list
     ring_at: int = 0
     walked: list[_Server] = field(default_factory=list)  # what it has drawn from the ring
@@ -155,10 +159,9 @@
         self.gaps, self.changes = REPORT_LAG, 1.0  # probed time and changed reports seen in it: their pace
         self.recent: deque[float] = deque()  # arrivals within fall_time
         self.tokens = PROBES_SAVED / 2
-        self.ticking = False
-        self.asking = False
+        self.ticking = self.asking = self.leave_due = False
         self.empty_by = 0.0  # this proxy leaves: all its connections are moved by then
-        self.leave_due = False  # a round of these moves is due
+        self.owed = 0.0  # returns that make up for what was moved or broke here
         self.lead = LEAD
         self.list_failures = 0
         self.answering = 1.0  # part of probes of late that were answered
@@ -181,10 +184,9 @@
         self.now = now
         if self.born == NEVER:
             self.born = now
-        out: list[api.Action] = []
-        self.out = out
+        self.out = []
         self.on[type(event)](event)
-        return out
+        return self.out
 
     # The list of servers
 
@@ -194,8 +196,6 @@
             self.asking = False
             self.list_failures += 1
             self._ask_later(min(1.0, 0.1 * 2.0**self.list_failures) * (0.5 + self.random()))
-            if self.list_failures in (3, 10):
-                self.out.append(api.Log(f"list failed {self.list_failures} times; the old one is kept"))
             return
         if e.kind is not api.ListKind.DELTA:
             named = {entry.server for entry in e.entries}
@@ -223,11 +223,10 @@
     def _entry(self, e: api.ServerEntry) -> None:
         s = self._known(e.server)
         if e.started_at > s.started_at:  # a new process: what was known of the old one is void
-            s.started_at = e.started_at
-            s.load = None
+            s.started_at, s.load = e.started_at, None
             s.silent, s.failed, s.out_until = 0, 0, 0.0
             s.seen_at = s.looked_at = NEVER
-        s.zone, s.cell, s.weight = e.zone, e.cell, e.weight
+        s.zone, s.cell, s.weight, s.leaves_in = e.zone, e.cell, e.weight, e.leaves_in
         s.is_local = not e.zone or not self.set.zone or e.zone == self.set.zone
         self._set_phase(s, e.phase)
 
@@ -260,7 +259,7 @@
     def _on_request(self, e: api.Request) -> None:
         now = self.now
         r = _Req(e.id, self.set.classes[e.cls], now, e.deadline_at)
-        r.ring_key = self._key(e)
+        r.ring_key, r.again, r.most = self._key(e), e.reconnect, self.set.max_attempts
         self.reqs[e.id] = r
         again = e.retry or e.reconnect
         self.tokens = min(PROBES_SAVED, self.tokens + (PROBES_PER_RETURN if again else PROBES_PER_REQUEST))
@@ -268,7 +267,8 @@
         while self.recent[0] < now - self.set.fall_time:
             self.recent.popleft()
         self._draw(r)
-        self.came.add(now)
+        if not e.reconnect or self.owed >= 1.0:  # one that was another proxy's counts once it stands
+            self.came.add(now)
 
     def _key(self, e: api.Request) -> str:
         return (e.team or (e.key if self.set.passes else "")) if self.use_ring else ""
@@ -322,10 +322,8 @@
         for _ in range(DRAWS):
             on_ring = self._next_on_ring(r) if r.ring_key and r.bound is None else None
             s = on_ring or pool[int(self.random() * n)]
-            if s is other:
-                continue
             # Guards against pushing a cold server over, all proxies together.
-            if s.started_at > 0 and not self._cold_may(s):
+            if s is other or (s.started_at > 0 and not self._cold_may(s)):
                 continue
             if s in r.tried or s.out_until > self.now:
                 fallback = fallback or s
@@ -467,7 +465,7 @@
 
     def _send(self, r: _Req, s: _Server) -> None:
         left = r.deadline - self.now
-        tries_left = self.set.max_attempts - r.attempts
+        tries_left = r.most - r.attempts
         # Leave room for another attempt; the last one, and one that would only repeat its cost, has all.
         last = tries_left <= 1 or self._excess() > 0
         timeout = left if last else min(left, max(r.cls.aim, left / tries_left / 2))
@@ -510,10 +508,8 @@
         may_refuse = not r.maybe_ran or r.cls.repeat is api.Repeat.SAFE
         if r.cls.repeat is api.Repeat.KEYED and r.maybe_ran and r.cls.group is api.RepeatGroup.ALL:
             may_refuse = self.now < r.bound_until
-        if may_refuse:
-            self.out.append(api.Refuse(r.id, self.set.max_retry_after * (0.5 + 0.5 * self.random())))
-        else:
-            self.out.append(api.Fail(r.id))
+        after = self.set.max_retry_after * (0.5 + 0.5 * self.random())
+        self.out.append(api.Refuse(r.id, after) if may_refuse else api.Fail(r.id))
 
     # What comes back
 
@@ -528,6 +524,11 @@
         if s.phase is not api.Phase.READY:  # it began to drain while this one was set up
             self._empty(s)
         self.stood.add(self.now)
+        if r.again and self.owed >= 1.0:
+            self.owed -= 1.0
+        elif r.again:  # no growth: it stood at another proxy, and the reports had it all along
+            self.usual += 1.0
+            self.came.add(self.now)
         self._start_ticking()
 
     def _hold(self, s: _Server, r: _Req) -> None:
@@ -543,10 +544,8 @@
         return True
 
     def _on_outcome(self, e: api.Outcome) -> None:
-        if e.report:
-            s = self.servers.get(e.server)
-            if s is not None:
-                self._read(s, e.report)
+        if e.report and e.server in self.servers:
+            self._read(self.servers[e.server], e.report)
         r = self.reqs.get(e.id)
         if r is None:
             return
@@ -554,7 +553,9 @@
         r.out = False
         if s is not None:
             held = self._let_go(s, r)
-            if held and not s.held and e.result is api.Result.RESET and s.phase is api.Phase.DRAINING:
+            broke = held and e.result is api.Result.RESET
+            self.owed += broke
+            if broke and not s.held and s.phase is api.Phase.DRAINING and not s.leaves_in:
                 self.lead = max(0.3, min(self.lead, self.now - s.drains_at))  # it stopped before the end
             if s.phase is api.Phase.GONE and not s.held:
                 self.servers.pop(s.name, None)
@@ -572,7 +573,7 @@
             if r.cls.repeat is api.Repeat.KEYED and r.bound is None and s is not None:
                 r.bound = self._group_of(s, r)
         left = r.deadline - self.now
-        spent = r.attempts >= self.set.max_attempts or left <= 2 * GUARD or e.result is api.Result.MOOT
+        spent = r.attempts >= r.most or left <= 2 * GUARD or e.result is api.Result.MOOT
         if spent or (r.maybe_ran and r.cls.repeat is api.Repeat.UNSAFE):
             self._give_up(r)
         else:
@@ -662,11 +663,9 @@
         """Condition: a server that holds our connections is near or over its capacity, or leaves several
         probes in a row unanswered while most others answer: what hangs or is cut off serves nobody.
         Every proxy sees the same, and each moves its own part of the excess."""
-        load = s.load
+        load = s.load if self.field != "inflight" else None
         if s.silent:
             load = 2.0 if s.silent >= SILENT and self.answering > 0.5 else None
-        elif self.field == "inflight":
-            load = None
         if load is None or load < MOVE_AT or self.now < s.rest_until:
             return
         # Guards against moves that no other server has room for: their clients would only be refused.
@@ -686,6 +685,7 @@
             if r.server is not None:
                 self._let_go(r.server, r)
             r.done = True
+            self.owed += 1.0
             self.out.append(api.Move(r.id))
 
     def _empty(self, s: _Server) -> None:
@@ -693,6 +693,8 @@
         if s.drains_at <= 0.0:
             s.drains_at = self.now
             first, last = LEAD_FROM * self.lead, LEAD_TO * self.lead
+            if s.leaves_in:
+                first, last = SOON_FROM * s.leaves_in, SOON_TO * s.leaves_in
             if s.phase is api.Phase.GONE:
                 first, last = 0.0, GONE_TIME
             s.empty_by = self.now + last
@@ -707,7 +709,7 @@
 
     def _on_returned(self, e: api.Returned) -> None:
         """Condition: this proxy stays after all, with what it still holds."""
-        self.empty_by = 0.0
+        self.empty_by = self.owed = 0.0
 
     def _move_part(self, held: list[_Req], by: float, token: str) -> None:
         """Move a share of what is left, so that all are moved by then; the worthiest first."""
@@ -772,10 +774,8 @@
     def _overdue(self, r: _Req) -> None:
         assert r.pair is not None  # a probe of it is silent: one that answered wins over one that did not
         a, b = r.pair
-        silent_a, silent_b = a.probing > NEVER, b.probing > NEVER
-        if silent_a != silent_b:
-            keep = b if silent_a else a
-            r.pair = (keep, keep)
+        if (a.probing > NEVER) != (b.probing > NEVER):
+            r.pair = (b, b) if a.probing > NEVER else (a, a)
         self._decide(r)
 
 
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -102,6 +102,7 @@
     ask: Ask
     session: SessionPort
     deadline: float
+    most: int = 1  # attempts; like the deadline, by the settings that it came under
     attempts: int = 0
     attempt: Attempt | None = None  # the one attempt out, or the one that stands
     standing: bool = False
@@ -242,7 +243,8 @@
         laid = []
         for e in entries:
             if e.phase is api.Phase.READY and e.server in self.out:
-                e = e._replace(phase=api.Phase.DRAINING)
+                # It may be stopped as soon as nothing new goes to it.
+                e = e._replace(phase=api.Phase.DRAINING, leaves_in=self.settings.drain_grace)
             laid.append(e)
             b = self.backends[e.server]
             was, b.phase = b.phase, e.phase
@@ -318,7 +320,7 @@
         self.stats.count("taken")
         now = self.now()
         wait = cls.limit if ask.wait is None else ask.wait
-        req = Req(self, self.next_id, ask, session, now + wait)
+        req = Req(self, self.next_id, ask, session, now + wait, self.settings.max_attempts)
         self.next_id += 1
         self.reqs[req.id] = req
         # Guards against a module that never answers: the answer is given here, still within the slack.
@@ -383,7 +385,7 @@
         attempt = Attempt(req, b or Backend(a.server), req.attempts, self.now(), wait)
         req.attempts += 1
         req.attempt = attempt
-        if b is None or not self.may_send(b) or attempt.number >= self.settings.max_attempts or wait <= 0:
+        if b is None or not self.may_send(b) or attempt.number >= req.most or wait <= 0:
             self.loop.call_soon(attempt.over, api.Result.MOOT)
             return
         self._fetch(attempt)
--- a/gradegap/interface.py
+++ b/gradegap/interface.py
@@ -151,6 +151,7 @@
     phase: Phase = Phase.READY
     weight: float = 1.0
     started_at: float = 0.0  # latest start; 0: long ago
+    leaves_in: float = 0.0  # s that it stays from when it is told to drain; 0: not told
 
 
 class ServerList(NamedTuple):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -60,6 +60,32 @@
     assert not sum(n for _, n in moves_until(d, out, "es0", d.now + 10.0))
 
 
+def test_a_server_told_to_leave_soon_is_empty_by_then() -> None:
+    """Operators restart a save server some 2.5 s after they took it out; connections once stood till then."""
+    d = Driver(servers=2)
+    stood_on_one(d, 20)
+    held, told = len(d.balancer.servers["s0"].held), d.now
+    entry = api.ServerEntry("s0", phase=api.Phase.DRAINING, leaves_in=2.0)
+    out = d.feed(api.ServerList(api.ListKind.DELTA, (entry,)))
+    moved = [(at, n) for at, n in moves_until(d, out, "es0", told + 10.0) if n]
+    assert sum(n for _, n in moved) == held and moved[-1][0] < told + 2.0
+    assert max(n for _, n in moved) <= held / 4  # paced
+
+
+@pytest.mark.parametrize("turns", [1, 5])
+def test_a_proxy_that_stays_after_all_keeps_what_it_holds(turns: int) -> None:
+    """However quickly it is told to leave and to stay, there is one chain of rounds, and none in the end."""
+    d = Driver(servers=2)
+    stood_on_one(d, 20)
+    timers = []
+    for _ in range(turns):
+        timers += d.feed(api.Leaving(d.now + 2.0), after=0.01)
+        assert not d.feed(api.Returned(), after=0.01)
+    assert len(timers) == 1
+    assert sum(n for _, n in moves_until(d, timers, "leave", d.now + 5.0)) == 0
+    assert len(d.feed(api.Leaving(d.now + 2.0))) == 1  # the chain has ended: a new one begins
+
+
 def test_a_proxy_that_leaves_moves_all_it_holds_in_time_and_in_rounds() -> None:
     d = Driver(servers=2)
     stood_on_one(d, 20)
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -51,6 +51,36 @@
     assert placed["live"] > placed["spare"]
 
 
+@pytest.mark.parametrize("again", [True, False])
+def test_clients_moved_off_another_proxy_are_no_growth(again: bool) -> None:
+    """When one of two nodes was drained, the other held its clients for new load on top of the reports, in
+    which they were all along, and refused them for four seconds with servers half idle."""
+    d = Driver(servers=4, balancers=2)
+    for _ in range(40):
+        d.stand(sends(d.answer_probes(d.request(after=2.0), 0.3))[0])
+    for _ in range(40):
+        out = d.answer_probes(d.request(after=0.05, reconnect=again, retry=again), 0.3)
+        if sends(out):
+            d.stand(sends(out)[0])
+    assert (d.balancer._growth() < 1.2) is again
+
+
+def test_a_moved_client_that_is_refused_again_and_again_is_no_wave_of_arrivals() -> None:
+    d = Driver(servers=4)
+    for _ in range(30):
+        assert finals(d.answer_probes(d.request(after=0.02, retry=True, reconnect=True), 1.4))
+    assert d.balancer.came.get(d.now) == 0.0
+
+
+@pytest.mark.parametrize("known", [0, 30])
+def test_connections_taken_over_are_no_growth(known: int) -> None:
+    d = Driver(servers=4)
+    for k in range(known + 30):
+        q = api.Request(1000 + k, "live", d.now + 1.0)
+        d.feed(api.Inherited(q, f"s{k % 4}"), after=0.01)
+        assert d.balancer._growth() < 1.5
+
+
 def stood_on_one(d: Driver, count: int) -> None:
     for _ in range(count):
         (send,) = sends(d.answer_probes(d.request(after=1.0), lambda s: 0.1 if s == "s0" else 0.4))
