Turn down a configuration whole that lacks a key or has no deadline or attempts

Seen: settings.read and Config fill gaps with defaults (MaxAttempts 1, HardLimitNs 0, no classes at all), so a file cut between two names, or one with a deadline of text, took effect on SIGHUP. settings.check holds deadlines and attempts to finite numbers above 0 (no bool, no text) at start and reload; settings.lacking compares a new file with the one in force, name by name. Both say what is wrong, in the log and in reloads_failed. Rejected: a fixed list of all keys that the platform writes; it would turn down files of a platform that has one less from the start.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -81,6 +81,7 @@
     settings: api.Settings
     path: str  # the file it was read from
     written: Config  # as the file has it, without the environment's words
+    names: dict[str, Any]  # all that the file has, but for the lists of `known`
 
     @property
     def seed(self) -> int:
@@ -96,7 +97,9 @@
     if not path:
         raise BadConfig("NODE_CONFIG names no file")
     try:
-        config = msgspec.json.decode(Path(path).read_bytes(), type=Config)
+        data = Path(path).read_bytes()
+        config = msgspec.json.decode(data, type=Config)
+        names = msgspec.json.decode(data) | {"known": None}
     except OSError as error:
         raise BadConfig(f"{path} can't be read: {error.strerror}") from None
     except msgspec.MsgspecError as error:
@@ -114,18 +117,22 @@
         except ValueError:
             raise BadConfig(f"{name} is no address: {address!r}") from None
     try:
+        reader.check(config.settings)
         settings = api.Settings(**reader.read(reader.flatten(config.settings)))
     except KeyError as error:
         raise BadConfig(f"settings lack {error}") from None
     except (ValueError, TypeError) as error:
         raise BadConfig(f"settings can't be used: {error}") from None
-    return Setup(config, settings, path, written)
+    return Setup(config, settings, path, written, names)
 
 
 def reload(old: Setup) -> Setup:
     """The configuration anew, from the file it came from. What the file has changed since it was last read
     is newer than the environment of the start, and goes over it; the rest stays as it is in force."""
     new = load(old.path)
+    # Guards against a file that was cut between two of its names: what it lacks would become a default.
+    if missing := reader.lacking(old.names, new.names):
+        raise BadConfig(f"{old.path} lacks {missing}, which the one in force has")
     for name in RELOADED:
         now, before = getattr(new.written, name), getattr(old.written, name)
         setattr(new.config, name, now if now != before else getattr(old.config, name))
--- a/gradegap/settings.py
+++ b/gradegap/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from gradegap import interface as i
@@ -101,6 +102,47 @@
     }
 
 
+def check(nested: dict[str, Any]) -> None:
+    """Guards against settings whose gaps `read` would fill: a node with a class that has no deadline, or with
+    one attempt for four, looks healthy and serves badly. A KeyError names what is missing."""
+    lanes, bounds = nested["Lanes"], nested["Bounds"]
+    if not isinstance(lanes, list) or not isinstance(bounds, dict):
+        raise ValueError("Lanes or Bounds of the wrong kind")
+    _above_0("MaxAttempts", bounds["MaxAttempts"])
+    names = set()
+    for lane in lanes:
+        if not isinstance(lane, dict) or not isinstance(lane["Name"], str) or lane["Name"] in names:
+            raise ValueError("a class without a name of its own")
+        names.add(lane["Name"])
+        _above_0(f"HardLimitNs of {lane['Name']}", lane["HardLimitNs"])
+
+
+def _above_0(name: str, value: Any) -> None:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not math.isfinite(value) or value <= 0:
+        raise ValueError(f"{name} is no number above 0: {value!r}")
+
+
+def lacking(old: Any, new: Any, path: str = "") -> str:
+    """The first name that `old` has a value for and `new` lacks; empty: none. Each entry of a list is held
+    against the first of the old one."""
+    if isinstance(old, dict):
+        if not isinstance(new, dict):
+            return path
+        for name, value in old.items():
+            here = f"{path}.{name}" if path else name
+            if value is not None and new.get(name) is None:
+                return here
+            if found := lacking(value, new.get(name), here):
+                return found
+    elif isinstance(old, list) and old and isinstance(old[0], dict):
+        if not isinstance(new, list):
+            return path
+        missing = (lacking(old[0], each, f"{path}.{k}") for k, each in enumerate(new))
+        return next((name for name in missing if name), "")
+    return ""
+
+
 def flatten(value: Any, path: str = "", into: Fields | None = None) -> Fields:
     """The nested object of config.json as the pairs that `read` takes."""
     out: Fields = {} if into is None else into
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -258,7 +258,7 @@
     [
         ("{", "no configuration"),
         ('{"name":"n","listen":"x","discovery":"127.0.0.1:1","settings":{}}', "listen"),
-        ('{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}', "no class"),
+        ('{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}', "lack 'Lanes'"),
         ('{"name":"n","listen":"127.0.0.1:1"}', "discovery"),
         (None, "can't be read"),
     ],
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -64,13 +64,84 @@
         wait_for(lambda: w.client().ask() == "UP b")
 
 
-@pytest.mark.parametrize("text", ["{", '{"name":"n0"}', '{"name":"n0","listen":"x","discovery":"y"}'])
-def test_a_bad_file_changes_nothing(tmp_path: Path, text: str) -> None:
+LANE = SETTINGS["Lanes"][0]
+
+
+def lane(**changes: Any) -> dict[str, Any]:
+    return {"settings": SETTINGS | {"Lanes": [LANE, LANE | {"Name": "new"} | changes]}}
+
+
+def bounds(attempts: Any) -> dict[str, Any]:
+    return {"settings": SETTINGS | {"Bounds": SETTINGS["Bounds"] | {"MaxAttempts": attempts}}}
+
+
+def without(*names: str) -> dict[str, Any]:
+    """The settings without what these names lead to."""
+    made: dict[str, Any] = json.loads(json.dumps(SETTINGS))
+    at: Any = made
+    for name in names[:-1]:
+        at = at[int(name) if name.isdigit() else name]
+    del at[names[-1]]
+    return {"settings": made}
+
+
+BAD: list[str | dict[str, Any]] = [
+    "",
+    "{",
+    "null",
+    '{"name":"n0"}',
+    '{"name":"n0","listen":"x","discovery":"y"}',
+]
+BAD += [lane(HardLimitNs=v) for v in (0, -1, True, "1800000000", None, 1e400, [1])]
+BAD += [bounds(v) for v in (0, -1, 0.5, True, False, "4", None)]
+BAD += [
+    without("Lanes"),
+    without("Lanes", "0", "HardLimitNs"),
+    without("Lanes", "0", "Points"),
+    lane(Name="live"),
+]
+BAD += [without("Bounds", "MaxAttempts"), without("Rules", "DrainGraceNs"), without("ReplicasOfMe")]
+
+
+def test_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    """What a file lacked was once filled with defaults: one attempt, a class without a deadline."""
     with world(tmp_path, [Backend("a")]) as w:
-        w.config.write_text(text)
+        good = w.config.read_text()
+        for count, bad in enumerate(BAD, 1):
+            text = (
+                bad
+                if isinstance(bad, str)
+                else json.dumps(json.loads(good) | bad).replace("Infinity", "1e400")
+            )
+            w.config.write_text(text)
+            w.process.send_signal(signal.SIGHUP)
+            wait_for(lambda n=count: w.counters().get("reloads_failed") == str(n))  # type: ignore[misc]
+            assert w.client().ask("c=new,d=900") == "ERR", bad
+        w.config.write_text(good[: len(good) // 2])
         w.process.send_signal(signal.SIGHUP)
-        wait_for(lambda: w.counters().get("reloads_failed") == "1")
+        wait_for(lambda: w.counters().get("reloads_failed") == str(len(BAD) + 1))
         assert "not reloaded" in w.log.read_text() and w.client().ask() == "UP a"
+        w.config.write_text(good)
+        w.process.send_signal(signal.SIGHUP)
+        assert wait_for(lambda: w.counters().get("reloads") == "1")
+
+
+def test_each_reload_holds_for_who_comes_next_and_no_other(tmp_path: Path) -> None:
+    """Classes come and go, and attempts get fewer; a req under way keeps what it began with."""
+    a, b = Backend("a", answer="reset"), Backend("b", answer="silence")
+    with world(tmp_path, [a, b]) as w:
+        rewrite(w, **lane(HardLimitNs=3_000_000_000, AimNs=2_000_000_000, Idempotency="unsafe"))
+        wait_for(lambda: w.counters().get("reloads") == "1")
+        under_way = w.client()
+        under_way.send("OPEN r1 k c=live,d=1500,g=1")
+        wait_for(lambda: a.opens or b.opens)
+        rewrite(w, **bounds(1))
+        wait_for(lambda: w.counters().get("reloads") == "2")
+        assert under_way.line().startswith("BUSY")
+        assert len([x for x in a.opens + b.opens if " r1 " in x]) > 1  # four attempts, not one
+        assert w.client().ask("c=new,d=900") == "ERR"  # dropped
+        assert w.client().ask("c=live,d=900", "r2").startswith("BUSY")
+        assert len([x for x in a.opens + b.opens if " r2 " in x]) == 1
 
 
 def test_a_reload_changes_classes_for_who_comes_next(tmp_path: Path) -> None:
