--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import signal
 import socket
+import sys
 import zlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -26,7 +28,13 @@
 from gradegap.net.console import CALLERS_MOST, DONE, Console, Done, Verdict
 from gradegap.net.descriptors import Descriptors
 from gradegap.net.director import Director, Listing
-from gradegap.operator_file import OperatorSettings, QuicSettings, StoreSettings
+from gradegap.operator_file import (
+    BadOperatorFile,
+    OperatorSettings,
+    QuicSettings,
+    StoreSettings,
+    load_operator,
+)
 from gradegap.stats import Stats
 from gradegap.store.snapshot import Snapshot
 from gradegap.store.sync import Replica
@@ -496,3 +504,39 @@
             node.print_counters()
 
     uvloop.run(main())
+
+
+def configure_log() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def stop_line(error: Exception) -> SystemExit:
+    """One plain line, and an exit that is not zero."""
+    sys.stderr.write(f"gradegap: {' '.join(str(error).split())}\n")
+    return SystemExit(2)
+
+
+def load_both(config: str | None, operator: str | None) -> tuple[Setup, OperatorSettings]:
+    try:
+        return load(config), load_operator(operator or os.environ.get("GRADEGAP_OPERATOR"))
+    except (BadConfig, BadOperatorFile) as error:
+        raise stop_line(error) from None
+
+
+def serve(config: str | None = None, operator: str | None = None) -> None:
+    """Run one node until SIGTERM; SIGHUP has it read its configuration again."""
+    hold_signals()
+    configure_log()
+    setup, settings = load_both(config, operator)
+    try:
+        run(setup, settings)
+    except BadConfig as error:
+        raise stop_line(error) from None
--- a/gradegap/cli.py
+++ b/gradegap/cli.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-import logging
-import os
-import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 import msgspec
-import structlog
 import typer
 
-from gradegap.app import BadConfig, Setup, hold_signals, load
-from gradegap.app import run as run_node
-from gradegap.operator_file import BadOperatorFile, OperatorSettings, load_operator
+from gradegap.app import configure_log, load_both, stop_line
+from gradegap.app import serve as run_serve
 from gradegap.store.sync import RemoteStore
 
 app = typer.Typer(add_completion=False, help="gradegap places player connections on save servers.")
@@ -24,50 +19,24 @@
 OPERATOR = typer.Option(None, help="operator's file, instead of GRADEGAP_OPERATOR; see deploy/operator.toml")
 
 
-def _load(config: str | None, operator: str | None) -> tuple[Setup, OperatorSettings]:
-    try:
-        return load(config), load_operator(operator or os.environ.get("GRADEGAP_OPERATOR"))
-    except (BadConfig, BadOperatorFile) as error:
-        raise _stop(error) from None
-
-
-def _stop(error: Exception) -> typer.Exit:
-    """One plain line, and an exit that is not zero."""
-    sys.stderr.write(f"gradegap: {' '.join(str(error).split())}\n")
-    return typer.Exit(2)
-
-
 @app.callback(invoke_without_command=True)
 def main(context: typer.Context) -> None:
     """Serve, where no sub-command is named."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
+    configure_log()
     if context.invoked_subcommand is None:
-        serve(None, None)
+        run_serve()
 
 
 @app.command()
 def serve(config: str | None = CONFIG, operator: str | None = OPERATOR) -> None:
     """Run one node until SIGTERM; SIGHUP has it read its configuration again."""
-    hold_signals()
-    setup, settings = _load(config, operator)
-    try:
-        run_node(setup, settings)
-    except BadConfig as error:
-        raise _stop(error) from None
+    run_serve(config, operator)
 
 
 @app.command()
 def check(config: str | None = CONFIG, operator: str | None = OPERATOR) -> None:
     """Read a configuration, and say what a node would start with."""
-    setup, extra = _load(config, operator)
+    setup, extra = load_both(config, operator)
     s = setup.settings
     typer.echo(f"name {setup.config.name}, listen {setup.config.listen}, discovery {setup.config.discovery}")
     typer.echo(f"classes {', '.join(s.classes)}; zone {s.zone or '-'}; {s.balancers} nodes")
@@ -91,7 +60,7 @@
         finally:
             remote.close()
     except (OSError, ValueError) as error:
-        raise _stop(ValueError(f"the store at {node}: {error}")) from None
+        raise stop_line(ValueError(f"the store at {node}: {error}")) from None
 
 
 @store_app.command("list")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -234,6 +234,7 @@
         bad_c = c.entry | {"weight": None}  # what was told of it last still holds
         listing = {"version": 9, "full": True, "servers": [*BAD_ENTRIES, b.entry, bad_c]}
         body = json.dumps(listing).encode()
+        wait_for(lambda: any("index" in path for _, path in list(w.director.calls)))
         w.director.garbage.append(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
         w.director.tell(a, weight=0.5)
         wait_for(lambda: w.counters().get("list_items_bad") == str(len(BAD_ENTRIES) + 1))
