Wait in turn at a discovery short of room, back off with jitter, ask for changes only

Checked by logging draws and the director's calls: the draws walked the whole ring, but four of its six servers had been replaced and were passed by as out; the node's list was 10 s old. Each node called for the full list every 0.1 s after a 503, and gave up calls after 1.5 s that were waiting in turn, so discovery answered nobody. Ruled out: cold servers, probes that are used up (they are, but see below). At fault: director.py, RETRY and ANSWER_WAIT, and a version thrown away on any answer but 200. Now: 6 s for an answer, from 0.1 to 3 s, jittered, between calls that fail, the version is kept when discovery is busy, a watch holds for 10 s. A restarted node serves with the list of its configuration after 1 s, not 2. choice.py: a full pair is drawn again also when no probes are left; stale figures are still figures.

--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -57,7 +57,7 @@
 RELOADED = ("discovery", "limits", "known")  # what a reload changes, the settings beside
 FIXED = ("name", "listen", "seed", "console")  # what lasts for the life of a process
 UNKNOWN = Verdict(HTTPStatus.NOT_FOUND, "no such save server")
-READY_ANYWAY = 2.0  # s after which a node with the list of its configuration serves without discovery
+READY_ANYWAY = 1.0  # s after which a node with the list of its configuration serves without discovery
 
 
 class BadConfig(ValueError):
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -448,7 +448,7 @@
             room = self._has_room(keep, r.cls.worth)
             if not room or (figure is not None and figure >= FULL_AT):
                 r.best = keep
-                if r.redraws < REDRAWS and self.now - r.arrived < FRESH * r.cls.aim and self.tokens > 0:
+                if r.redraws < REDRAWS and self.now - r.arrived < FRESH * r.cls.aim:
                     r.redraws += 1
                     self._draw(r)
                     return
--- a/gradegap/net/director.py
+++ b/gradegap/net/director.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import math
+import random
 from collections.abc import Callable
 from ipaddress import ip_address
 from typing import cast
@@ -21,10 +22,12 @@
 log = structlog.get_logger()
 
 PATH = "/registry/instances"
-WATCH_WAIT = 5.0  # s that a watch may hold
-ANSWER_WAIT = 1.5  # s beyond that until a silent director is called anew
+WATCH_WAIT = 10.0  # s that a watch may hold; each new one costs discovery as much as a short one
+ANSWER_WAIT = 6.0  # s beyond that until a silent discovery is called anew: its calls may wait in turn
 CONNECT_WAIT = 0.5
-RETRY = 0.1  # s between a call that failed and the next
+RETRY = 0.1  # s, about, between a first call that failed and the next; doubled at each further failure
+RETRY_MOST = 3.0  # s, about; what discovery has to tell counts as told after six
+BUSY = (429, 502, 503, 504)  # answers of a discovery that is there, but short of room
 LARGEST = 8 * 1024 * 1024  # bytes of one answer
 STATES = {"Ready": api.Phase.READY, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
 
@@ -98,6 +101,7 @@
         self.stats = stats
         self.version: int | None = None  # None: the next call asks for the full list
         self.told = False  # a list has come since the start
+        self.failures = 0  # calls in a row that failed
         self.first: Callable[[], None] | None = None
         self.call: Call | None = None
         self.again: asyncio.TimerHandle | None = None  # the next call, after one that failed
@@ -113,7 +117,7 @@
         is kept. Whatever the old address still says is not heard."""
         self.stats.count("director_changes")
         old, self.call = self.call, None
-        self.address, self.version = address, None
+        self.address, self.version, self.failures = address, None, 0
         if old is not None:
             old.drop()
         self._connect()
@@ -152,13 +156,20 @@
                 self.first()
         return True
 
-    def lost(self, call: Call, after: float = RETRY, anew: bool = False) -> None:
-        """A call has failed: the last list is kept, and discovery is called again."""
+    def lost(self, call: Call, failed: bool = True, anew: bool = False) -> None:
+        """A call has ended: the last list is kept, and discovery is called again; after a failure, later.
+
+        Guards against nodes that drown a discovery which is short of room: each once called for the full
+        list every 0.1 s, and gave up what waited in turn, so that none was ever answered."""
         if call is not self.call:
             return
         self.call = None
         if anew:
             self.version = None
+        after = 0.0
+        if failed:
+            after = min(RETRY_MOST, RETRY * 2.0 ** min(self.failures, 10)) * random.uniform(0.5, 1.5)
+            self.failures += 1
         self.again = self.core.loop.call_later(after, self._connect)
 
 
@@ -200,10 +211,10 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             log.warning("discovery broke HTTP", error=str(error))
-            self._end(RETRY)
+            self._end()
             return
         if len(self.body) > LARGEST:
-            self._end(RETRY)
+            self._end()
         elif self.complete:
             self._answered()
 
@@ -219,27 +230,34 @@
         status, keep = self.parser.get_status_code(), self.parser.should_keep_alive()
         body = bytes(self.body)
         self._fresh()
+        if status in BUSY:
+            # It has no room now, and still knows what this node has: the changes since are asked for again,
+            # which cost it less than the full list.
+            self.director.stats.count("lists_busy")
+            self._end()
+            return
         if status != 200 or not self.director.answer(body):
             # Guards against a reply that can't be read: the last list is kept, the full one asked for.
             self.director.stats.count("lists_failed")
-            self._end(RETRY, anew=True)
+            self._end(anew=True)
             return
         self.answers += 1
+        self.director.failures = 0
         if keep and self.transport is not None and not self.transport.is_closing():
             self._ask()
         else:
-            self._end(0.0)
+            self._end(failed=False)
 
     def _silent(self) -> None:
         self.director.stats.count("lists_silent")
-        self._end(RETRY)
+        self._end()
 
     def failed(self) -> None:
         self.director.stats.count("lists_failed")
         self.director.lost(self)
 
-    def _end(self, after: float, anew: bool = False) -> None:
-        self.director.lost(self, after, anew)
+    def _end(self, failed: bool = True, anew: bool = False) -> None:
+        self.director.lost(self, failed, anew)
         self.drop()
 
     def drop(self) -> None:
@@ -256,4 +274,4 @@
         if self.timer is not None:
             self.timer.cancel()
         # A director that closed after an answer is called again at once: the watch goes on.
-        self.director.lost(self, 0.0 if self.answers else RETRY)
+        self.director.lost(self, failed=not self.answers)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -241,6 +241,27 @@
         assert {w.client().ask() for _ in range(20)} == {"UP b", "UP c"}
 
 
+def test_a_discovery_short_of_room_is_asked_less_often_and_for_changes_only(tmp_path: Path) -> None:
+    """Every node once asked it for the full list every 0.1 s, and none was answered for seconds."""
+    a, b = Backend("a"), Backend("b")
+    with world(tmp_path, [a]) as w:
+        calls = w.director.calls
+        wait_for(lambda: any("index" in path for _, path in list(calls)))
+        before = len(calls)
+        w.director.garbage += [b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"] * 6
+        with w.director.changed:
+            w.director.version += 1
+            w.director.changes.append((w.director.version, b.entry))
+            w.director.changed.notify_all()
+        wait_for(lambda: len(calls) >= before + 7, 12.0)
+        wait_for(lambda: w.client().ask() == "UP b")
+        made = calls[before:]
+        assert all("index" in path for _, path in made) and w.counters()["lists_busy"] == "6"
+        assert made[6][0] - made[0][0] > 0.5 * (
+            0.1 + 0.2 + 0.4 + 0.8 + 1.6
+        )  # half of it, at the least jitter
+
+
 def test_probes_that_answer_nonsense_leave_a_backend_in_use(tmp_path: Path) -> None:
     loads = ["x0=nan,inflight=-1", "x0=1e999", "", "x0=0.1\r\nPONG x0=9.0", "x" * 5000]
     made = [Backend(str(k), load=load) for k, load in enumerate(loads)]
