--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -23,6 +23,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 
 from gradegap.quic.front import CloseCode
+from tests.test_console import call
 from tests.world import BUSY_MACHINE, Backend, World, free_port, fresh_id, wait_for, world
 
 
@@ -116,16 +117,19 @@
 
 
 @contextmanager
-def quic_world(folder: Path, backends: list[Backend], more: str = "") -> Iterator[tuple[World, int]]:
+def quic_world(
+    folder: Path, backends: list[Backend], more: str = "", at: int = 0, **config: str
+) -> Iterator[tuple[World, int]]:
     make_certificate(folder)
-    port = free_port(socket.SOCK_DGRAM)
+    port = at or free_port(socket.SOCK_DGRAM)
     operator = f"""[quic]
 listen = "127.0.0.1:{port}"
 certificate = "{folder}/cert.pem"
 private_key = "{folder}/key.pem"
 {more}
 """
-    with world(folder, backends, operator) as w:
+    shared = str(folder.parent if at else folder)
+    with world(folder, backends, operator, env={"TMPDIR": shared}, **config) as w:
         yield w, port
 
 
@@ -279,6 +283,41 @@
         assert w.process.wait(4) == 0
 
 
+def test_a_node_out_of_service_moves_its_quic_sessions_and_serves_them_again(tmp_path: Path) -> None:
+    console = f"127.0.0.1:{free_port()}"
+    with quic_world(tmp_path, [Backend("a")], console=console) as (w, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        assert call(console, "out-of-service") == 200
+        late = QuicClient(port)
+        late.send(b"PING\r\n")
+        assert late.line() == "ERR" and late.ask() == "UP a"
+        for each in (c, late):
+            assert each.line(4.0) == "MOVE" and each.code() is CloseCode.MOVED
+        assert call(console, "in-service") == 200
+        again = QuicClient(port)
+        again.send(b"PING\r\n")
+        assert again.line() == "PONG" and again.ask() == "UP a"
+
+
+def test_a_second_process_takes_the_port_once_the_first_has_moved_its_quic_sessions(tmp_path: Path) -> None:
+    """It once could not start at all; QUIC sessions can't pass, as their keys are the library's own."""
+    a = Backend("a")
+    with quic_world(tmp_path, [a]) as (w, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        (tmp_path / "second").mkdir()
+        with quic_world(tmp_path / "second", [a], at=port, listen=w.address) as (n, _):
+            wait_for(lambda: w.counters().get("handovers") == "1")
+            c.send(b"still here\r\n")
+            assert c.line() == "still here"
+            w.process.terminate()
+            assert c.line(4.0) == "MOVE" and c.code() is CloseCode.MOVED
+            assert w.process.wait(5) == 0
+            wait_for(lambda: "quic=" in n.log.read_text())
+            assert QuicClient(port).ask() == "UP a" and n.counters()["quic_handshakes"] == "1"
+
+
 def test_much_data_both_ways_stays_whole(tmp_path: Path) -> None:
     b = Backend("a")
     with quic_world(tmp_path, [b]) as (_, port):
