--- a/gradegap/store/sync.py
+++ b/gradegap/store/sync.py
@@ -27,6 +27,7 @@
 PERIOD = 1.0  # s between two digests on a link, and between two tries at a peer that is away
 CONNECT_WAIT = 0.5
 MOST_LINKS = 32
+SILENT = 5 * PERIOD  # s without a word, after which a peer that should say its digest is taken for gone
 HEAD = 4
 
 
@@ -91,9 +92,11 @@
         self.lost = lost
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
+        self.heard_at = replica.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.heard_at = self.replica.loop.time()
         if len(self.replica.links) >= MOST_LINKS:
             self.transport.abort()
             return
@@ -108,6 +111,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.buffer += data
+        self.heard_at = self.replica.loop.time()
         try:
             while (frame := decode(self.buffer)) is not None:
                 self._frame(frame)
@@ -177,8 +181,14 @@
 
     def _tick(self) -> None:
         if not self.closed:
-            for link in self.links:
-                link.send_digest()
+            now = self.loop.time()
+            for link in list(self.links):
+                if now - link.heard_at > SILENT and link.transport is not None:
+                    # Guards against peers that are cut off: they hold links, and what is sent piles up.
+                    self.stats.count("store_silent")
+                    link.transport.abort()
+                else:
+                    link.send_digest()
             self.loop.call_later(PERIOD * random.uniform(0.75, 1.25), self._tick)
 
     def _pass_on(self, entries: list[Entry], source: object) -> None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,7 +14,7 @@
 
 from gradegap.store.sync import Digest, Entries, RemoteStore, decode, encode
 from gradegap.store.versioned import LATEST, BadEntry, Entry, Store
-from tests.world import ROOT, Backend, World, free_port, wait_for, world
+from tests.world import ROOT, Backend, Client, World, free_port, wait_for, world
 
 
 def exchange(a: Store, b: Store) -> None:
@@ -220,3 +220,13 @@
                 frames.append(frame)
     keys = {e.key for f in frames if isinstance(f, Entries) for e in f.entries}
     assert keys == {"config/log_level", "node/n0"}
+
+
+def test_a_peer_that_says_nothing_loses_its_link(trio: Trio) -> None:
+    node = trio.start(0, [])
+    held = [Client(trio.address(0)) for _ in range(3)]
+    held[1].send(b"\0\0")  # half a frame
+    wait_for(lambda: node.counters().get("store_silent") == "3", 5.0 + 3.0)
+    assert node.counters()["store_links"] == "0"
+    with trio.remote(0) as remote:  # others are served
+        assert remote.store.get("config/log_level") == "info"
