Let stand-ins note a connection before they tell its client

On a clean machine test_a_client_that_reads_nothing_holds_its_backend_back failed with an IndexError: the stand-in save server wrote UP before it noted the connection, so the client could look first. The same order stood in discovery's stand-in (the time of an answer was taken after it was written, so the next call could seem to come before it) and DNS over TCP read a query in one piece. All three note first or read whole, and the test of the watch waits for the calls.

--- a/tests/test_dnssd.py
+++ b/tests/test_dnssd.py
@@ -85,8 +85,9 @@
         while True:
             sock, _ = self.listener.accept()
             with sock:
-                size = int.from_bytes(sock.recv(2), "big")
-                answer = self.answer(sock.recv(size), True) or b""
+                file = sock.makefile("rb")  # reads whole: a query may come in pieces
+                size = int.from_bytes(file.read(2), "big")
+                answer = self.answer(file.read(size), True) or b""
                 sock.sendall(len(answer).to_bytes(2, "big") + answer)
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -213,8 +213,8 @@
         wait_for(lambda: not d.garbage)
         d.tell(b)
         wait_for(lambda: w.client().ask() == "UP b")
-        answers, calls = d.answered[-2:], [at for at, _ in d.calls]
-        assert all(any(0 <= at - answer < 0.2 for at in calls) for answer in answers)
+        answers = d.answered[-2:]
+        wait_for(lambda: all(any(0 <= at - said < 0.2 for at, _ in list(d.calls)) for said in answers), 2.0)
 
 
 BAD_ENTRIES: list[dict[str, Any]] = [
--- a/tests/world.py
+++ b/tests/world.py
@@ -102,11 +102,14 @@
                 elif line.startswith("OPEN") and self.answer == "reset":
                     hard_reset(sock)
                     return
-                elif line.startswith("OPEN") and self.answer != "silence":
-                    sock.sendall(self.answer.format(name=self.name).encode() + b"\r\n")
-                    if not self.answer.startswith("UP"):
+                elif line.startswith("OPEN") and (answer := self.answer) != "silence":
+                    # Noted first: a client that was told UP may ask for its connection at once.
+                    stands = answer.startswith("UP")
+                    if stands:
+                        self.standing.append(sock)
+                    sock.sendall(answer.format(name=self.name).encode() + b"\r\n")
+                    if not stands:
                         break
-                    self.standing.append(sock)
             self.ended.append("end")
         except OSError:
             self.ended.append("reset")
@@ -145,11 +148,12 @@
                     self.close_connection = True
                     return
                 body = json.dumps(director.answer(parse_qs(urlsplit(self.path).query))).encode()
+                # Noted first: the node's next call may come before a later line runs.
+                director.answered.append(time.time())
                 self.send_response(200)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
-                director.answered.append(time.time())
 
             def log_message(self, *args: Any) -> None:
                 pass
