--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -88,6 +88,7 @@
     told_at: float = NEVER  # when this node was told that it drains or is gone
     report: Mapping[str, float] | None = None  # the last that a probe brought, and when
     report_at: float = NEVER
+    told_by_peer: bool = False  # the report is another node's
     least_delay: float = 9.0  # s, the shortest a message took: the way there and back
     noted_at: float = NEVER
     connecting: set[Attempt] = field(default_factory=set)  # nothing written yet
@@ -188,6 +189,8 @@
         self.leaving = False
         self.out: dict[str, float] = {}  # backends taken out by hand, with when
         self.out_changed: Callable[[], None] | None = None
+        # None where a decision may be made now; else the s after which a client that is refused may return.
+        self.gate: Callable[[], float | None] | None = None
         self.drained_by: float | None = None  # out of service: nothing stands here after this
         self.emptied: Callable[[], None] | None = None
         self.act: dict[type, Callable[[Any], None]] = {
@@ -327,10 +330,21 @@
         req.guard = self.loop.call_later(max(0.0, wait), self._overdue, req)
         if ask.at:
             self._inherit(req)
-        else:
+        elif not self._held_back(req):
             self.feed(self._request(req))
         return req
 
+    def _held_back(self, req: Req) -> bool:
+        """Refuse at once what could only be decided by state that others may have replaced."""
+        wait = self.gate() if self.gate is not None else None
+        if wait is None:
+            return False
+        self.stats.count("refused_stale")
+        self._answer(req, "refused")
+        req.session.refuse(min(wait, self.settings.max_retry_after))
+        self._drop(req)
+        return True
+
     def _request(self, req: Req) -> api.Request:
         a = req.ask
         return api.Request(
@@ -382,6 +396,9 @@
             # Guards against two attempts at once, or one after the answer.
             self.stats.count("moot")
             return
+        if self._held_back(req):
+            self.feed(api.ClientGone(req.id))
+            return
         attempt = Attempt(req, b or Backend(a.server), req.attempts, self.now(), wait)
         req.attempts += 1
         req.attempt = attempt
@@ -450,7 +467,7 @@
         def done(result: api.Result, report: Mapping[str, float] | None) -> None:
             self.stats.count(f"probe_{result.name.lower()}")
             if b is not None and report is not None:
-                b.report, b.report_at = report, self.now()
+                b.report, b.report_at, b.told_by_peer = report, self.now(), False
             self.feed(api.ProbeResult(a.server, result, self.now() - began, report))
 
         if b is None or not self.may_send(b):
--- a/gradegap/handover.py
+++ b/gradegap/handover.py
@@ -15,22 +15,20 @@
 import socket
 import struct
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import msgspec
 import structlog
 
 from gradegap import interface as api
-from gradegap.core import Ask
-from gradegap.net.backend import Fetch
+from gradegap.core import Ask, Core
+from gradegap.net.backend import Backends, Fetch
 from gradegap.net.client_session import TcpChannel
-from gradegap.net.descriptors import DialedSocket
+from gradegap.net.descriptors import Descriptors, DialedSocket
 from gradegap.net.framing import Opening
-
-if TYPE_CHECKING:
-    from gradegap.app import Node
+from gradegap.stats import Stats
 
 log = structlog.get_logger()
 
@@ -125,7 +123,14 @@
     sockets: int
 
 
-Message = Offer | Listed | Begin | Ready | Door | Standing | Taken | Order | Obeyed | Held
+class Lease(msgspec.Struct, tag="lease"):
+    """How long, in s, this process may have decided by the store; it reports nothing to it any more."""
+
+    left: float
+    out: dict[str, float]  # save servers out by hand, as of now
+
+
+Message = Lease | Offer | Listed | Begin | Ready | Door | Standing | Taken | Order | Obeyed | Held
 _decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
@@ -310,10 +315,30 @@
     return sock
 
 
+class Host(Protocol):
+    """The node, as a handover sees it."""
+
+    loop: asyncio.AbstractEventLoop
+    stats: Stats
+    core: Core
+    backends: Backends
+    descriptors: Descriptors
+    channels: set[TcpChannel]
+    listening: socket.socket | None
+    leaving: bool
+
+    def channel(self) -> TcpChannel: ...
+    def stop_accepting(self) -> None: ...
+    def accept_again(self) -> None: ...
+    def obey(self, what: str, server: str) -> None: ...
+    def leave_store(self) -> float: ...
+    def inherit(self, left: float, out: Mapping[str, float]) -> None: ...
+
+
 class Handover:
     """A node's part in it: as the process that follows one, and as the one that is followed."""
 
-    def __init__(self, node: Node, path: Path | None) -> None:
+    def __init__(self, node: Host, path: Path | None) -> None:
         self.node = node
         self.path = path
         self.loop = node.loop
@@ -448,6 +473,8 @@
         self.node.stats.count("handovers")
         self.gave_way = True
         self.node.stop_accepting()
+        if self.link is not None and (left := self.node.leave_store()) > 0:
+            self.link.send(Lease(left, dict(self.node.core.out)))
         if self.waiting is not None:
             self.waiting.close()
             self.waiting = None
@@ -562,6 +589,8 @@
                 link.send(Obeyed(message.serial))
             case Held():
                 self.node.descriptors.beside = message.sockets
+            case Lease():
+                self.node.inherit(message.left, message.out)
         close_all(fds)
 
     def order(self, what: str, server: str, done: Callable[[], None]) -> None:
--- a/gradegap/live.py
+++ b/gradegap/live.py
@@ -9,7 +9,6 @@
 import structlog
 
 from gradegap.stats import Stats
-from gradegap.store.versioned import Entry, Store
 
 log = structlog.get_logger()
 
@@ -20,40 +19,39 @@
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(LEVELS[name]))
 
 
-def is_level(value: Any) -> bool:
-    return isinstance(value, str) and value in LEVELS
-
-
-def is_count(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= 1_000_000
-
-
-def is_switch(value: Any) -> bool:
-    return isinstance(value, bool)
-
-
 class LiveConfig:
-    """Applies each known `config/` key when it is written here or comes from a peer."""
+    """The settings that a node obeys, each with its value of the start and what applies it."""
 
-    def __init__(self, store: Store, stats: Stats) -> None:
-        self.store = store
+    def __init__(self, stats: Stats) -> None:
         self.stats = stats
-        self.known: dict[str, tuple[Callable[[Any], bool], Callable[[Any], None]]] = {}
-        store.changed.append(self._changed)
-
-    def key(self, name: str, good: Callable[[Any], bool], apply: Callable[[Any], None], first: Any) -> None:
-        """A key that the node obeys, with the value to begin with."""
-        self.known[f"config/{name}"] = (good, apply)
-        self.store.seed(f"config/{name}", first)
-
-    def _changed(self, entries: list[Entry], source: object) -> None:
-        for entry in entries:
-            if entry.key not in self.known or entry.deleted:
-                continue
-            good, apply = self.known[entry.key]
-            if good(entry.value):
-                apply(entry.value)
-            else:
-                # Guards against a value of the wrong kind: what was in force stays so.
-                self.stats.count("config_ignored")
-                log.warning("configuration ignored", key=entry.key, value=repr(entry.value)[:80])
+        self.known: dict[str, tuple[Any, Callable[[Any], None]]] = {}
+        self.set: dict[str, Any] = {}  # what was set, also before there was something to apply it
+
+    def key(self, name: str, first: Any, apply: Callable[[Any], None]) -> None:
+        """A setting that the node obeys from now on."""
+        self.known[name] = (first, apply)
+        if name in self.set:
+            self.apply(name, self.set[name])
+
+    def apply(self, name: str, value: Any) -> None:
+        """Let a value take effect."""
+        from gradegap.store.schema import check_value  # only a node with a store comes here
+
+        self.set[name] = value
+        if name not in self.known:
+            return
+        try:
+            good = check_value(f"config/{name}", value)
+        except ValueError as error:
+            # Guards against a value written by another version: what was in force stays so.
+            self.stats.count("config_ignored")
+            log.warning("configuration ignored", key=name, error=str(error)[:200])
+            return
+        self.known[name][1](good)
+
+    def reset(self, name: str) -> None:
+        """The key is gone: the value of the start takes effect."""
+        self.set.pop(name, None)
+        if name in self.known:
+            first, apply = self.known[name]
+            apply(first)
--- /dev/null
+++ b/gradegap/node.py
@@ -0,0 +1,411 @@
+"""The node, assembled: what another program would embed, and what `gradegap serve` runs."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from gradegap import interface as api
+from gradegap.configuration import BadConfig, Setup, private_file, reload
+from gradegap.core import Core
+from gradegap.handover import Handover
+from gradegap.live import LiveConfig, set_log_level
+from gradegap.net.backend import Backends, raise_descriptor_limit, split_address
+from gradegap.net.client_session import TcpChannel
+from gradegap.net.console import CALLERS_MOST, DONE, Console, Done, Verdict
+from gradegap.net.descriptors import Descriptors
+from gradegap.net.director import Director
+from gradegap.operator_file import BadOperatorFile, OperatorSettings, QuicSettings, StoreSettings, read_secret
+from gradegap.stats import Stats
+from gradegap.store.snapshot import Snapshot
+
+if TYPE_CHECKING:
+    from gradegap.dnssd import DnsDirector
+    from gradegap.quic.front import QuicFront
+    from gradegap.store.attached import Attached
+
+log = structlog.get_logger()
+
+LEAVE_MOVES = 2.6  # s from SIGTERM until the module has moved what stands
+LEAVE_AT_LEAST = 0.7  # s from SIGTERM during which clients may still come
+LEAVE_LAST = 3.0  # s from SIGTERM until whatever stands then is moved at once
+DRAIN_MOVES = 2.8  # s from the call out of service until nothing stands here
+BACKLOG = 1024  # clients that may wait to be accepted
+PORT_RETRY = 0.1  # s between two tries at a port that the process before still holds
+MOST_OUT = 50  # save servers out by hand at once
+STALE_WAIT = 0.5  # s after which a client that was refused for want of a lease may come again
+STORE_LEAVES = 0.3  # s in which a leader of the store hands over before its process leaves it
+LEAVE_AT_MOST = 3.5  # s from SIGTERM until the end, short of the 3.7 s after which SIGKILL may come
+UNKNOWN = Verdict(HTTPStatus.NOT_FOUND, "no such save server")
+READY_ANYWAY = 1.0  # s after which a node with the list of its configuration serves without discovery
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """The clients' listening socket. Shared, so that a process which could not be passed it starts all the
+    same; only processes of the same user can share it."""
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Node:
+    """One node: the core, its ports and its fronts on one loop."""
+
+    def __init__(
+        self, setup: Setup, loop: asyncio.AbstractEventLoop, operator: OperatorSettings | None = None
+    ) -> None:
+        self.setup = setup
+        self.operator = operator or OperatorSettings()
+        self.quic: QuicFront | None = None
+        self.loop = loop
+        self.stats = Stats()
+        self.descriptors = Descriptors(raise_descriptor_limit(setup.config.limits.sockets), self.stats)
+        self.backends = Backends(loop, setup.settings.connect_timeout, self.descriptors)
+        self.core = Core(setup.settings, setup.seed, self.backends, self.stats, loop)
+        self.director: Director | DnsDirector = self._make_director()
+        self.live = LiveConfig(self.stats)
+        self.store: Attached | None = None
+        self.store_until = 0.0  # steady time up to which the process before this one had a lease
+        self.channels: set[TcpChannel] = set()
+        self.ready = False
+        self.leaving = False
+        self.console: Console | None = None
+        self.again: asyncio.Task[None] | None = None
+        self.late: list[asyncio.Task[None]] = []  # ports that wait for the process before to leave them
+        self.snapshot = Snapshot(private_file(setup.config, "snapshot"), self.stats)
+        self.core.out_changed = self._keep_out
+        if self.operator.store is not None:
+            self.core.gate = self._gate
+        self.handover = Handover(self, private_file(setup.config, "sock"))
+        self.listening: socket.socket | None = None  # kept beside the one accepted from, to pass on
+        self.done: asyncio.Future[None] = loop.create_future()
+        self.server: asyncio.Server | None = None
+        self.stats.gauge("open_sessions", lambda: len(self.channels))
+        self.stats.gauge("reqs", lambda: len(self.core.reqs))
+
+    def _make_director(self) -> Director | DnsDirector:
+        if self.operator.dnssd is None:
+            return Director(self.core, self.backends.dialer, self.setup.config.discovery, self.stats)
+        from gradegap.dnssd import DnsDirector
+
+        return DnsDirector(self.core, self.operator.dnssd, self.stats)
+
+    async def start(self) -> None:
+        config = self.setup.config
+        self.live.key("log_level", "info", set_log_level)
+        self.director.first = self._get_ready
+        following = await self.handover.follow()
+        if not following:
+            self._take_known()
+        self._take_snapshot()
+        self.director.start()
+        try:
+            self.listening = self.listening or listen(*split_address(config.listen))
+        except OSError as error:
+            raise BadConfig(f"can't listen on {config.listen}: {error.strerror}") from None
+        if config.console:
+            await self._start_console(config.console)
+        await self._accept()
+        if following:
+            self._get_ready()  # the list that it was told is the one in force
+        self.handover.serves()
+        if self.operator.quic is not None:
+            await self._when_free(self._start_quic, self.operator.quic, following)
+        if self.operator.store is not None:
+            await self._when_free(self._start_store, self.operator.store, following)
+        log.info("listening", name=config.name, address=config.listen, following=following)
+
+    def channel(self) -> TcpChannel:
+        return TcpChannel(self.core, self.stats, self.admits, self.channels, self.descriptors)
+
+    async def _accept(self) -> None:
+        if self.listening is not None and self.server is None:
+            own = self.listening.dup()
+            self.server = await self.loop.create_server(self.channel, sock=own, backlog=BACKLOG)
+
+    def accept_again(self) -> None:
+        # One task, where the process that took over has died.
+        self.again = self.loop.create_task(self._serve_again())
+
+    async def _serve_again(self) -> None:
+        await self._accept()
+        if self.operator.store is not None and self.store is None:
+            await self._when_free(self._start_store, self.operator.store, True)
+
+    def stop_accepting(self) -> None:
+        """Another process accepts from the same socket: what waits in its queue is not lost."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def _when_free(
+        self, start: Callable[[Any], Awaitable[None]], settings: Any, following: bool
+    ) -> None:
+        """Start a front or the store, at once or as soon as the process before has left its port."""
+        try:
+            await start(settings)
+        except BadConfig as error:
+            if not following:
+                raise
+            log.info("waits until the process before has left", reason=str(error))
+            self.late.append(self.loop.create_task(self._when_left(start, settings)))
+
+    async def _when_left(self, start: Callable[[Any], Awaitable[None]], settings: Any) -> None:
+        while not self.leaving:
+            alone = self.handover.link is None
+            await asyncio.sleep(PORT_RETRY)
+            try:
+                return await start(settings)
+            except BadConfig as error:
+                if alone:
+                    self.stats.count("ports_not_free")
+                    log.error("not started", error=str(error))
+                    return
+
+    async def _start_console(self, address: str) -> None:
+        self.descriptors.reserve(CALLERS_MOST)
+        self.console = Console(self, self.loop, self.stats)
+        try:
+            await self.console.start(*split_address(address))
+        except OSError as error:
+            raise BadConfig(f"the console can't listen on {address}: {error.strerror}") from None
+        log.info("listening", console=address)
+
+    # What operators ask for
+
+    def admits(self) -> bool:
+        """What PING is told: whether new clients are to come here."""
+        return self.ready and self.core.drained_by is None and self._store_allows()
+
+    def ask_ready(self, done: Done) -> None:
+        done(DONE if self.ready else Verdict(HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients"))
+
+    def take_out(self, server: str, done: Done) -> None:
+        if len(self.core.out) >= MOST_OUT and server not in self.core.out:
+            done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, f"{MOST_OUT} save servers are out already"))
+        else:
+            self._by_hand("out", server, done)
+
+    def call_back(self, server: str, done: Done) -> None:
+        self._by_hand("back", server, done)
+
+    def _by_hand(self, what: str, server: str, done: Done) -> None:
+        b = self.core.backends.get(server)
+        if b is None or b.told is None:
+            done(UNKNOWN)
+        elif self.store is not None:
+            # In force here as at every other node: once it is committed, and not before.
+            (self.store.take_out if what == "out" else self.store.call_back)(server, done)
+        else:
+            self.obey(what, server)
+            self._both(what, server, done)
+
+    def _both(self, what: str, server: str, done: Done) -> None:
+        """Yes, once it is in force in each process of this node."""
+        self.handover.order(what, server, lambda: done(DONE))
+
+    def obey(self, what: str, server: str) -> None:
+        """A call that the other process was asked for."""
+        match what:
+            case "out":
+                self.core.take_out(server)
+            case "back":
+                self.core.call_back(server)
+            case "drain":
+                self.core.drain(DRAIN_MOVES)
+            case "stay":
+                self.core.stay()
+
+    def out_of_service(self, done: Done) -> None:
+        self.core.drain(DRAIN_MOVES)
+        self._state_changed("drain", done)
+
+    def in_service(self, done: Done) -> None:
+        self.core.stay()
+        self._state_changed("stay", done)
+
+    def _state_changed(self, what: str, done: Done) -> None:
+        if self.leaving and self.handover.link is None:
+            done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, "this process is leaving"))
+            return
+        out = self.core.drained_by is not None
+        self.stats.count("calls_out_of_service" if out else "calls_in_service")
+        self._both(what, "", done)
+
+    def _keep_out(self) -> None:
+        """The save servers out by hand, for the next process of this node."""
+        self.snapshot.write(self.core.out)
+
+    def _take_snapshot(self) -> None:
+        """What a process of this node before this one was told by hand."""
+        for server, at in self.snapshot.read().items():
+            self.core.take_out(server, at)
+
+    def _take_known(self) -> None:
+        """The list of the configuration, to serve with until discovery has told one."""
+        known = self.setup.config.known.entries({}, self.stats)
+        self.core.listing(api.ListKind.CACHED, known)
+        if known:
+            self.loop.call_later(READY_ANYWAY, self._get_ready)
+
+    async def _start_quic(self, settings: QuicSettings) -> None:
+        # Loaded here: a node without this front does without its libraries' memory.
+        from gradegap.quic.front import QuicFront
+
+        try:
+            self.quic = front = QuicFront(self.core, self.stats, self.admits, settings)
+            address = split_address(settings.listen)
+            await self.loop.create_datagram_endpoint(lambda: front, local_addr=address)
+        except (OSError, ValueError) as error:
+            raise BadConfig(f"the QUIC front can't start: {error}") from None
+        self.live.key("quic_max_sessions", settings.max_sessions, front.set_most)
+        self.live.key("quic_accept", True, front.set_accept)
+        log.info("listening", quic=settings.listen)
+
+    def _store_allows(self) -> bool:
+        """Whether decisions may be made by what is known of the store here."""
+        settings = self.operator.store
+        if settings is None or settings.when_stale == "serve":
+            return True
+        return (self.store is not None and self.store.fresh()) or time.monotonic() < self.store_until
+
+    def _gate(self) -> float | None:
+        """None where a decision may be made now; else the s after which a client may come again."""
+        if not self._store_allows():
+            return STALE_WAIT
+        if self.store is None or not self.store.fresh():
+            self.stats.count("decided_stale")
+        return None
+
+    def inherit(self, left: float, out: Mapping[str, float]) -> None:
+        """The process before this one had a lease for so long yet, and told of all that it had applied."""
+        self.store_until = time.monotonic() + left
+        for server in list(self.core.out.keys() - out.keys()):
+            self.core.call_back(server)
+        for server, at in out.items():
+            self.core.take_out(server, at)
+
+    async def _start_store(self, settings: StoreSettings) -> None:
+        # Loaded here: a node without a store does without its libraries' memory.
+        from gradegap.store.attached import Attached
+        from gradegap.store.disk import BadFolder
+        from gradegap.store.serve import folder
+
+        try:
+            secret, place = read_secret(settings), folder(settings)
+            made = Attached(settings, secret, place, self.core, self.live, self.stats, self.loop, self._state)
+        except (BadFolder, BadOperatorFile) as error:
+            raise BadConfig(str(error)) from None
+        try:
+            await made.start()
+        except OSError as error:
+            made.close()
+            raise BadConfig(f"the store can't listen on {settings.listen}: {error.strerror}") from None
+        self.store = made
+
+    def leave_store(self) -> float:
+        """The next process serves: the store's folder and port are for it. s of the lease that are left."""
+        if self.store is None:
+            return 0.0
+        left = self.store.leave()
+        self.loop.call_later(STORE_LEAVES, self._close_store)
+        return left
+
+    def _close_store(self) -> None:
+        if self.store is not None:
+            self.store.close()
+            self.store = None
+
+    def _state(self) -> dict[str, object]:
+        """What this node is doing, for its siblings and its operator; never load or choices."""
+        out = self.core.drained_by is not None
+        state = (
+            "leaving" if self.leaving else "out of service" if out else "ready" if self.ready else "starting"
+        )
+        return {
+            "state": state,
+            "listen": self.setup.config.listen,
+            "quic": self.operator.quic.listen if self.operator.quic is not None else None,
+            "started_ms": round(self.core.anchor_ms),
+        }
+
+    def _get_ready(self) -> None:
+        if not self.leaving and not self.ready:
+            self.ready = True
+
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again and apply it, whatever else goes on; a bad one changes
+        nothing."""
+        old = self.setup
+        try:
+            self.setup = new = reload(old)
+        except BadConfig as error:
+            self.stats.count("reloads_failed")
+            log.error("configuration not reloaded, the old one is kept", error=str(error))
+            return
+        self.stats.count("reloads")
+        if new.settings != old.settings:
+            self.core.reconfigure(new.settings)
+            self.backends.connect_wait = new.settings.connect_timeout
+        if new.config.limits != old.config.limits:
+            self.descriptors.limit = raise_descriptor_limit(new.config.limits.sockets)
+        if new.config.known != old.config.known and not self.director.told:
+            self._take_known()
+        if new.config.discovery != old.config.discovery and isinstance(self.director, Director):
+            self.director.change_over(new.config.discovery)
+        log.info("configuration reloaded", discovery=new.config.discovery)
+
+    def stop(self) -> None:
+        """Leave: clients still come for a while, all are answered, all that stands is moved; then end."""
+        if self.leaving:
+            return
+        log.info("leaving", reqs=len(self.core.reqs))
+        self.leaving = True
+        self.ready = False
+        self.core.leave(LEAVE_MOVES)
+        at_least = 0.0 if self.handover.gave_way else LEAVE_AT_LEAST
+        self.loop.call_later(at_least, self._look_empty)
+        self.loop.call_later(LEAVE_LAST, self.core.move_all)
+        self.loop.call_later(LEAVE_AT_MOST, self._end)
+
+    def _look_empty(self) -> None:
+        # Idle connections of a front don't hold the node; answers on their way out do.
+        answering = any(c.session.opening for c in self.channels)
+        passing = self.handover.gave_way and self.handover.link is not None
+        answering = answering or (passing and bool(self.channels))
+        answering = answering or (self.quic is not None and self.quic.answering())
+        if self.core.reqs or answering:
+            self.loop.call_later(0.05, self._look_empty)
+        else:
+            self._end()
+
+    def _end(self) -> None:
+        self.handover.close()
+        if self.console is not None:
+            self.console.close()
+        if self.listening is not None:
+            self.listening.close()
+        if self.server is not None:
+            self.server.close()
+        if self.quic is not None:
+            self.quic.close()
+        if self.store is not None:
+            self.store.close()
+        if not self.done.done():
+            self.done.set_result(None)
+
+    def print_counters(self) -> None:
+        log.info("counters", **self.stats.snapshot())
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from pathlib import Path
+from typing import Any, Literal
 
 import msgspec
 
+NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
+
 
 class QuicSettings(msgspec.Struct):
     """The `[quic]` table of an operator's file."""
@@ -20,11 +24,21 @@
     retry_from: int = 64  # handshakes under way from which clients must prove their address
 
 
-class StoreSettings(msgspec.Struct):
-    """The `[store]` table: where this replica listens, and its peers."""
+class Peer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    address: str
+
 
+class StoreSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The `[store]` table: this member of the replicated store, and the members it begins with."""
+
+    name: str
     listen: str
-    peers: tuple[str, ...] = ()
+    peers: tuple[Peer, ...] = ()  # this member may be among them
+    advertise: str = ""  # where the others reach this member, if not at `listen`
+    data: str = ""  # a folder that lasts; none: `$TMPDIR`, and the member comes back empty
+    when_stale: Literal["refuse", "serve"] = "refuse"  # what a node does without a lease
+    secret: str = ""  # a file with the cluster's secret, the same for all
 
 
 class DnsSdSettings(msgspec.Struct):
@@ -48,19 +62,66 @@
     if not path:
         return OperatorSettings()
     try:
-        settings = msgspec.toml.decode(Path(path).read_bytes(), type=OperatorSettings)
+        raw = Path(path).read_bytes()
+        check_form(msgspec.toml.decode(raw))
+        settings = msgspec.toml.decode(raw, type=OperatorSettings)
     except OSError as error:
         raise BadOperatorFile(f"{path} can't be read: {error.strerror}") from None
+    except BadOperatorFile as error:
+        raise BadOperatorFile(f"{path}: {error}") from None
     except (msgspec.MsgspecError, ValueError) as error:
         raise BadOperatorFile(f"{path} is no operator's file: {error}") from None
     if settings.store is not None:
-        for address in (settings.store.listen, *settings.store.peers):
-            loopback(address, "store")
+        check_store(settings.store)
     if settings.dnssd is not None:
         loopback(settings.dnssd.server, "dnssd.server")
     return settings
 
 
+def check_form(tables: Any) -> None:
+    """Guards against a file of an earlier version, which would only be called unreadable."""
+    store = tables.get("store") if isinstance(tables, dict) else None
+    if not isinstance(store, dict):
+        return
+    if any(isinstance(peer, str) for peer in store.get("peers", ()) or ()):
+        raise BadOperatorFile(
+            'store.peers has the form of an earlier version; write peers = [{ name = "n2", address = '
+            '"127.0.0.1:7401" }, ...], and a name for this member: name = "n1"'
+        )
+    if "name" not in store:
+        raise BadOperatorFile('store has no name; write name = "n1", one for each member of the cluster')
+
+
+def check_store(store: StoreSettings) -> None:
+    if not NAME.fullmatch(store.name):
+        raise BadOperatorFile(f"store.name is no name of letters, digits, - and _: {store.name!r}")
+    loopback(store.listen, "store.listen")
+    if store.advertise:
+        loopback(store.advertise, "store.advertise")
+    for peer in store.peers:
+        if not NAME.fullmatch(peer.name):
+            raise BadOperatorFile(f"store.peers: no name of letters, digits, - and _: {peer.name!r}")
+        loopback(peer.address, f"store.peers: the address of {peer.name}")
+        if (peer.name == store.name) != (peer.address in (store.listen, store.advertise)):
+            raise BadOperatorFile(f"store.peers: {peer.name} at {peer.address} is and is not this member")
+    for of in ("name", "address"):
+        if len({getattr(p, of) for p in store.peers}) != len(store.peers):
+            raise BadOperatorFile(f"store.peers: two peers have the same {of}")
+
+
+def read_secret(store: StoreSettings) -> bytes:
+    """The cluster's secret; empty where none is named."""
+    if not store.secret:
+        return b""
+    try:
+        secret = Path(store.secret).read_bytes().strip()
+    except OSError as error:
+        raise BadOperatorFile(f"store.secret: {store.secret} can't be read: {error.strerror}") from None
+    if len(secret) < 16:
+        raise BadOperatorFile(f"store.secret: {store.secret} has less than 16 bytes")
+    return secret
+
+
 def loopback(address: str, name: str) -> None:
     """Guards against a store, or an unsigned DNS answer, that strangers reach: both are trusted."""
     host, sign, port = address.rpartition(":")
--- a/gradegap/raft/core.py
+++ b/gradegap/raft/core.py
@@ -148,6 +148,10 @@
         """Whether the commit index is known to cover all that earlier leaders committed."""
         return self.log.term(self.commit) == self.term
 
+    def config_index_committed(self) -> bool:
+        """Whether the members are settled: no change is under way."""
+        return self.log.config_index <= self.commit
+
     def status(self, now: float) -> dict[str, object]:
         return {
             "id": self.me,
--- a/gradegap/raft/log.py
+++ b/gradegap/raft/log.py
@@ -23,6 +23,7 @@
     def __init__(self, base: SnapMeta, entries: list[Entry]) -> None:
         self.base = base
         self.entries: list[Entry] = []
+        self.size = 0  # bytes of entries
         self.configs: list[tuple[int, Config]] = [(base.index, base.config)]
         for entry in entries:
             self.append(entry)
@@ -55,12 +56,15 @@
         if entry.index != self.last_index + 1:
             raise ValueError(f"entry {entry.index} after {self.last_index}")
         self.entries.append(entry)
+        self.size += entry.size
         if entry.kind is Kind.CONFIG:
             self.configs.append((entry.index, read_config(entry)))
 
     def truncate(self, index: int) -> None:
         """Drop what stands from `index` on."""
-        del self.entries[max(0, index - self.base.index - 1) :]
+        at = max(0, index - self.base.index - 1)
+        self.size -= sum(e.size for e in self.entries[at:])
+        del self.entries[at:]
         while len(self.configs) > 1 and self.configs[-1][0] >= index:
             self.configs.pop()
 
@@ -83,13 +87,15 @@
         if index <= self.base.index or term is None:
             return
         config = self.config_at(index)
-        del self.entries[: index - self.base.index]
+        gone = index - self.base.index
+        self.size -= sum(e.size for e in self.entries[:gone])
+        del self.entries[:gone]
         self.base = SnapMeta(index, term, config)
         self.configs = [(index, config), *[c for c in self.configs if c[0] > index]]
 
     def reset(self, base: SnapMeta) -> None:
         """A snapshot took the place of all of it."""
-        self.base, self.entries = base, []
+        self.base, self.entries, self.size = base, [], 0
         self.configs = [(base.index, base.config)]
 
     def up_to_date(self, last_index: int, last_term: int) -> bool:
--- /dev/null
+++ b/gradegap/store/attached.py
@@ -0,0 +1,174 @@
+"""The store in a node's own process: what the node decides by, and whether it may decide.
+
+Servers out by hand and configuration come from committed keys. A node without a lease refuses new reqs at
+once, with a time to come again, and says no to `PING`; what stands stays. With `when_stale = "serve"` it goes
+on, which is counted and logged.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from gradegap.core import Core
+from gradegap.live import LiveConfig
+from gradegap.net.console import DONE, Done, Verdict
+from gradegap.operator_file import StoreSettings
+from gradegap.stats import Stats
+from gradegap.store import schema, wire
+from gradegap.store.daemon import Daemon
+from gradegap.store.disk import BadFolder
+from gradegap.store.gossip import PERIOD, Learner
+from gradegap.store.machine import Event, Op
+
+log = structlog.get_logger()
+
+OUT = "out/"
+CONFIG = "config/"
+CALL_WAIT = 2.5  # s that a call at the console may take: the longest that leases of others are waited for
+
+
+class Attached:
+    """One node's store. `changed` is called when it may decide again, or no more."""
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        secret: bytes,
+        folder: Path,
+        core: Core,
+        live: LiveConfig,
+        stats: Stats,
+        loop: asyncio.AbstractEventLoop,
+        state: Callable[[], dict[str, object]],
+    ) -> None:
+        self.settings, self.core, self.live, self.stats, self.loop = settings, core, live, stats, loop
+        self.state = state
+        self.daemon = Daemon(settings, secret, folder, loop, stats, self._failed)
+        self.daemon.want_lease = True
+        self.daemon.lease_changed = self._look
+        self.daemon.gossiped = self._gossiped
+        self.daemon.machine.watchers.append(self._events)
+        self.learner = Learner(settings.name, core, stats)
+        self.was_fresh: bool | None = None
+        self.synced = False
+        self.timer: asyncio.TimerHandle | None = None
+        stats.gauge("store_fresh", self.fresh)
+
+    async def start(self) -> None:
+        await self.daemon.start()
+        self._gossip()
+        self._look()
+
+    # May it decide?
+
+    def fresh(self) -> bool:
+        """Whether a decision made now is by committed state."""
+        return self.daemon.fresh()
+
+    def _look(self) -> None:
+        fresh = self.fresh()
+        if fresh and not self.synced:
+            self.synced = True
+            self._take_over_all()
+        if fresh != self.was_fresh:
+            self.was_fresh = fresh
+            self.stats.count("store_fresh_again" if fresh else "store_stale")
+            if fresh:
+                log.info("decides by committed state")
+            else:
+                what = "refuses new reqs" if self.settings.when_stale == "refuse" else "goes on as it is"
+                log.warning("holds no lease of the store", what=what)
+
+    def _failed(self, error: BadFolder) -> None:
+        # The lease runs out, and the node refuses; its clients stay.
+        log.error("the node goes on without its store", error=str(error))
+
+    # What it decides by
+
+    def _take_over_all(self) -> None:
+        """At the first lease the store is what holds, whatever an earlier life kept."""
+        machine = self.daemon.machine
+        held = {i.key.removeprefix(OUT): i.value for i in machine.list(OUT)}
+        for server, value in held.items():
+            self._out(server, value)
+        for server in list(self.core.out.keys() - held.keys()):
+            self.core.call_back(server)
+        for item in machine.list(CONFIG):
+            self.live.apply(item.key.removeprefix(CONFIG), item.value)
+
+    def _out(self, server: str, value: object) -> None:
+        try:
+            at = msgspec.convert(value, schema.Out).at_ms / 1000
+        except msgspec.ValidationError:
+            at = 0.0
+        # Long ago where nobody said when: no grace is left, then.
+        self.core.take_out(server, min(at, self.core.now()))
+
+    def _events(self, events: list[Event]) -> None:
+        for e in events:
+            if e.key.startswith(OUT):
+                server = e.key.removeprefix(OUT)
+                if e.deleted:
+                    self.core.call_back(server)
+                else:
+                    self._out(server, e.value)
+            elif e.key.startswith(CONFIG):
+                name = e.key.removeprefix(CONFIG)
+                if e.deleted:
+                    self.live.reset(name)
+                else:
+                    self.live.apply(name, e.value)
+
+    # What operators ask of the node
+
+    def take_out(self, server: str, done: Done) -> None:
+        """Yes, once it is committed and every node with a lease obeys it."""
+        value = {"at_ms": round(self.core.now() * 1000), "by": self.settings.name}
+        self._write(Op(OUT + server, value), done)
+
+    def call_back(self, server: str, done: Done) -> None:
+        self._write(Op(OUT + server, delete=True), done)
+
+    def _write(self, op: Op, done: Done) -> None:
+        def answered(answer: wire.Answer) -> None:
+            if answer.outcome == "ok":
+                done(DONE)
+            else:
+                done(Verdict(HTTPStatus.SERVICE_UNAVAILABLE, answer.text))
+
+        self.daemon.service.request(wire.Write((op,), author="console"), answered, CALL_WAIT)
+
+    # What nodes tell each other
+
+    def _gossip(self) -> None:
+        if not self.daemon.closed:
+            self.daemon.to_all(self.learner.tell(self.state()))
+            self.timer = self.loop.call_later(PERIOD, self._gossip)
+
+    def _gossiped(self, gossip: wire.Gossip) -> None:
+        self.learner.hear(gossip)
+        self.daemon.service.nodes[gossip.node] = (time.monotonic(), gossip.state)
+
+    # The end
+
+    def leave(self) -> float:
+        """Give the folder and the port up, for the next process; s of the lease that are left. Nothing
+        more is said of what this node has applied, so no write is acknowledged that it does not know."""
+        from gradegap.store.serve import hand_over
+
+        left = max(0.0, self.daemon.holder.until - time.monotonic())
+        hand_over(self.daemon)
+        self.daemon.want_lease = False
+        return left
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        self.daemon.close()
--- /dev/null
+++ b/gradegap/store/daemon.py
@@ -0,0 +1,551 @@
+"""A member of the store: the consensus core driven by a clock, a disk and links.
+
+All that the core puts out is written before it is said. Disk work is done in one thread, one batch at a
+time; what gathers meanwhile is the next batch, so that many writes share a sync.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from gradegap.operator_file import StoreSettings
+from gradegap.raft.core import NEVER, Raft, Refused
+from gradegap.raft.types import Config, Entry, Kind, Member, Message, Output, Role, SnapMeta, Tuning
+from gradegap.stats import Stats
+from gradegap.store import wire
+from gradegap.store.disk import BadFolder, Batch, Disk, Found, Identity
+from gradegap.store.forming import Forming
+from gradegap.store.leases import Granter, Holder
+from gradegap.store.links import Dial, Link, Network
+from gradegap.store.machine import Command, Expire, Logged, Machine, Result, encode, pack, unpack
+from gradegap.store.service import Service
+
+log = structlog.get_logger()
+
+TICK = 0.05  # s between two looks at the clock, at the most
+KEEP = 1000  # applied entries that stay in the log, for members that are a little behind
+COMPACT_ENTRIES = 4 * KEEP
+COMPACT_BYTES = 8 * 1024 * 1024
+PROMOTE = 0.2  # s between two looks whether a learner has caught up
+
+
+class Daemon:
+    """One daemon's part in the store. `failed` is called, once, when its disk can't be written."""
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        secret: bytes,
+        folder: Path,
+        loop: asyncio.AbstractEventLoop,
+        stats: Stats,
+        failed: Callable[[BadFolder], None],
+        tuning: Tuning | None = None,
+    ) -> None:
+        self.settings, self.loop, self.stats, self.failed = settings, loop, stats, failed
+        self.tuning = tuning or Tuning()
+        self.disk = Disk(folder)
+        try:
+            self.found: Found = self.disk.start()
+        except BadFolder:
+            self.disk.close()
+            raise
+        self.identity = self.found.identity
+        self.net = Network(loop, stats, secret, self._heard, self._linked)
+        self.net.me = me = Member(self.identity.id, settings.name, settings.advertise or settings.listen)
+        self.net.cluster = self.identity.cluster
+        self.machine = Machine()
+        self.machine.load(self.found.state)
+        self.raft: Raft | None = None
+        self.service = Service(self)
+        self.forming = Forming(settings, me)
+        self.holder = Holder(f"{settings.name}.{self.identity.id[:6]}", self.tuning.drift)
+        self.granter: Granter | None = None
+        self.lease_changed: Callable[[], None] = lambda: None
+        self.gossiped: Callable[[wire.Gossip], None] = lambda gossip: None
+        self.applied_hooks: list[Callable[[], None]] = []
+        self.thread = ThreadPoolExecutor(1, "store-disk")
+        self.outs: list[Output] = []
+        self.writing = False
+        self.compacting = 0
+        self.packing = False
+        self.removed = False
+        self.closed = False
+        self.led = False
+        self.known_leader = ""
+        self.clock_base = (0.0, 0)  # steady time, log time
+        self.promote_at = 0.0
+        self.joined_at = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.want_lease = False
+        stats.gauge("store_keys", lambda: len(self.machine.items))
+        stats.gauge("store_revision", lambda: self.machine.revision)
+        stats.gauge("store_links", lambda: len(self.net.all))
+        stats.gauge("store_role", lambda: self.raft.role.value if self.raft is not None else "forming")
+        stats.gauge("store_term", lambda: self.raft.term if self.raft is not None else 0)
+
+    # Life
+
+    async def start(self) -> None:
+        """Listen and take part; `OSError` where the address can't be had."""
+        await self.net.listen(self.settings.listen)
+        log.info("listening", store=self.settings.listen, member=self.identity.id, cluster=self.net.cluster)
+        if self.identity.cluster:
+            self._run(self.found)
+        elif (config := self.forming.alone()) is not None:
+            self._form(*config)
+        self._want_links()
+        self._tick()
+
+    def _run(self, found: Found) -> None:
+        seed = int.from_bytes(self.identity.id.encode()[:6], "big") ^ time.monotonic_ns()
+        self.raft = Raft(
+            self.identity.id,
+            time.monotonic(),
+            seed,
+            found.base,
+            found.entries,
+            found.hard,
+            found.state.index,
+            self.tuning,
+        )
+        self._want_links()
+
+    def _form(self, cluster: str, config: Config) -> None:
+        """Belong to a cluster from now on. Written before anybody hears of it."""
+        if self.identity.cluster:
+            return
+        identity = Identity(self.identity.id, cluster)
+        base = SnapMeta(0, 0, config)
+        try:
+            self.disk.write(Batch(identity=identity, base=base))
+        except BadFolder as error:
+            self._fail(error)
+            return
+        self.identity = identity
+        self.net.cluster_is(cluster)
+        self.found.base = base
+        self.stats.count("store_formed")
+        log.info("belongs to a cluster", cluster=cluster, members=[m.name for m in config.members])
+        self._run(self.found)
+        for member in config.members:
+            if member.id != self.identity.id:
+                self.net.send(member.id, member.address, wire.Form(cluster, config))
+
+    def close(self) -> None:
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.net.close()
+        self.service.close()
+        self.thread.shutdown(wait=True)
+        self.disk.close()
+
+    def _fail(self, error: BadFolder) -> None:
+        """Guards against going on with what is not on disk: the member is as good as dead."""
+        if not self.closed:
+            self.stats.count("store_disk_failed")
+            log.error("store stopped", error=str(error))
+            self.raft = None
+            self.removed = True
+            self.net.close()
+            self.failed(error)
+
+    # Time
+
+    def _tick(self) -> None:
+        if self.closed:
+            return
+        now = time.monotonic()
+        raft = self.raft
+        if raft is not None and not self.removed:
+            raft.tick(now)
+            self._lead_tick(now, raft)
+            self._renew(now)
+            self._settle()
+        elif raft is None and not self.removed and now - self.joined_at > 0.5:
+            self.joined_at = now
+            self._ask_to_join()
+        self.service.tick(now)
+        wait = TICK
+        if self.raft is not None:
+            wait = min(TICK, max(0.001, self.raft.deadline() - time.monotonic()))
+        self.timer = self.loop.call_later(wait, self._tick)
+
+    def _lead_tick(self, now: float, raft: Raft) -> None:
+        if not raft.leads:
+            return
+        if self.granter is not None:
+            self.granter.look(now)
+        expiry = self.machine.next_expiry()
+        if expiry is not None and expiry <= self.log_clock() and raft.commit == raft.log.last_index:
+            self.propose(Expire())
+        if now >= self.promote_at:
+            self.promote_at = now + PROMOTE
+            for member in raft.config.members:
+                if not member.voter:
+                    try:
+                        raft.add(now, Member(member.id, member.name, member.address))
+                        self.stats.count("store_promoted")
+                        log.info("member has caught up", member=member.name)
+                    except Refused:
+                        pass  # it has not yet; asked again soon
+                    break
+
+    def log_clock(self) -> int:
+        """The time of the log, as the leader has it: steady, and never behind what was logged."""
+        at, base = self.clock_base
+        return max(self.machine.clock, base + int((time.monotonic() - at) * 1000))
+
+    def propose(self, body: Command | Expire) -> int:
+        """`Refused` where it can't be; else the index to wait for. `_settle` has to follow."""
+        assert self.raft is not None
+        logged = Logged(self.log_clock(), time.time_ns() // 1_000_000, body)
+        index = self.raft.propose(time.monotonic(), encode(logged))
+        self.loop.call_soon(self._flush)
+        return index
+
+    def _flush(self) -> None:
+        if self.raft is not None and not self.closed:
+            self.raft.flush(time.monotonic())
+            self._settle()
+
+    # What the core puts out
+
+    def _settle(self) -> None:
+        raft = self.raft
+        if raft is None or self.closed:
+            return
+        out = raft.take()
+        for to, message in out.early:
+            self._send(to, message)
+        if out.install is not None:
+            try:
+                state = unpack(out.install[1])
+            except ValueError as error:
+                self._fail(BadFolder(f"a snapshot that came can't be read: {error}"))
+                return
+            self.stats.count("store_snapshots_taken")
+            self.machine.load(state)
+        for entry in out.apply:
+            self._apply(entry)
+        if out.apply or out.install is not None:
+            self._applied()
+        for number, index in out.reads:
+            self.service.read_at(number, index)
+        for number in out.unread:
+            self.service.unread(number)
+        if out.want_snapshot and not self.packing:
+            self._pack(raft)
+        if out.durable or out.messages:
+            self.outs.append(out)
+            self._write()
+        self._look_at_role(raft)
+
+    def _apply(self, entry: Entry) -> None:
+        if entry.kind is Kind.COMMAND:
+            result = self.machine.apply(entry.index, entry.data)
+            if result.error:
+                self.stats.count(f"store_refused_{result.error.split(':')[0]}")
+        else:
+            self.machine.skip(entry.index)
+            result = Result(self.machine.revision)
+        if entry.kind is Kind.CONFIG:
+            self._config_applied()
+        self.service.applied(entry, result)
+
+    def _applied(self) -> None:
+        now = time.monotonic()
+        index = self.machine.index
+        self.holder.applied(index)
+        self.service.caught_up(index)
+        for hook in self.applied_hooks:
+            hook()
+        if self.want_lease and self.holder.until > now:
+            raft = self.raft
+            if raft is not None and raft.leads and self.granter is not None:
+                self.granter.applied(self.holder.name, index)
+            elif raft is not None:
+                self._to_leader(wire.LeaseApplied(self.holder.name, index))
+        if self.granter is not None:
+            self.granter.look(now)
+
+    def _config_applied(self) -> None:
+        raft = self.raft
+        assert raft is not None
+        old = {m.address for m in raft.config.members}
+        log.info("members", names=[f"{m.name}{'' if m.voter else ' (learner)'}" for m in raft.config.members])
+        for link in self.net.all:
+            theirs = link.channel.theirs
+            if raft.leads and link.dial is not None and theirs is not None and link.channel.proven:
+                gone = raft.config.get(theirs.id) is None
+                if gone and theirs.cluster and link.dial.address not in old:
+                    link.send(wire.Turned("removed"))
+        if raft.config.get(self.identity.id) is None and self.machine.index >= raft.log.config_index:
+            self._stop_as_removed()
+        self._want_links()
+
+    def _stop_as_removed(self) -> None:
+        if not self.removed and self.raft is not None and self.raft.config_index_committed():
+            self.removed = True
+            self.stats.count("store_removed")
+            log.warning("this member was removed from its cluster; it takes no part any more")
+            self.service.lost_leader()
+
+    def _look_at_role(self, raft: Raft) -> None:
+        if raft.leads != self.led:
+            self.led = raft.leads
+            now = time.monotonic()
+            if raft.leads:
+                self.stats.count("store_elected")
+                self.clock_base = (now, self.machine.clock)
+                self.granter = Granter(now, self.tuning.drift)
+                log.info("leads", term=raft.term)
+            else:
+                self.stats.count("store_deposed")
+                self.granter = None
+                log.info("leads no more", term=raft.term)
+            self.service.lost_leader()
+        if raft.leader != self.known_leader and raft.role is not Role.LEADER:
+            self.known_leader = raft.leader
+            self.service.leader_changed()
+        self.known_leader = raft.leader
+
+    def _pack(self, raft: Raft) -> None:
+        """A snapshot for a member that is behind the log; made in a thread, as it takes a while."""
+        self.packing = True
+        index = self.machine.index
+        term = raft.log.term(index)
+        if term is None:
+            self.packing = False
+            return
+        meta = SnapMeta(index, term, raft.log.config_at(index))
+        state = self.machine.state()
+        self.stats.count("store_snapshots_made")
+        self._in_thread(self.thread.submit(pack, state), lambda data: self._packed(meta, data))
+
+    def _packed(self, meta: SnapMeta, data: bytes) -> None:
+        self.packing = False
+        raft = self.raft
+        if raft is not None and raft.leads and meta.index >= raft.log.base.index:
+            raft.offer_snapshot(time.monotonic(), meta, data)
+            self._settle()
+
+    # The disk
+
+    def _in_thread(self, work: Future[Any], done: Callable[[Any], None]) -> None:
+        def over(finished: Future[Any]) -> None:
+            if not self.closed:
+                self.loop.call_soon_threadsafe(back, finished)
+
+        def back(finished: Future[Any]) -> None:
+            if self.closed:
+                return
+            error = finished.exception()
+            if isinstance(error, BadFolder):
+                self._fail(error)
+            elif error is not None:
+                raise error
+            else:
+                done(finished.result())
+
+        work.add_done_callback(over)
+
+    def _write(self) -> None:
+        if self.writing or not self.outs or self.raft is None:
+            return
+        outs, self.outs = self.outs, []
+        batch = self._batch(outs)
+        if batch is None:
+            self._written(outs)
+            return
+        self.writing = True
+        self.stats.count("store_syncs")
+        self._in_thread(self.thread.submit(self.disk.write, batch), lambda _: self._synced(outs))
+
+    def _batch(self, outs: list[Output]) -> Batch | None:
+        if not any(o.durable for o in outs):
+            return None
+        raft = self.raft
+        assert raft is not None
+        batch = Batch()
+        for out in outs:
+            if out.hard is not None:
+                batch.hard = out.hard
+            if out.install is not None:
+                batch.base = out.install[0]
+                batch.entries = []
+                batch.whole = unpack(out.install[1])
+            for entry in out.entries:
+                if batch.entries and entry.index <= batch.entries[-1].index:
+                    batch.entries = [e for e in batch.entries if e.index < entry.index]
+                batch.entries.append(entry)
+        if batch.whole is None or self.machine.index >= batch.whole.index:
+            batch.dirty = self.machine.drain()
+        m = self.machine
+        batch.applied = (m.index, m.revision, m.clock)
+        if raft.log.size > COMPACT_BYTES or len(raft.log.entries) > COMPACT_ENTRIES:
+            self._compact_with(batch, raft)
+        return batch
+
+    def _compact_with(self, batch: Batch, raft: Raft) -> None:
+        """Log that the state on disk has made superfluous goes, but for a tail."""
+        index = m_index = self.machine.index
+        keep = KEEP if raft.log.size <= COMPACT_BYTES else KEEP // 10
+        index = min(m_index, raft.stable) - keep
+        term = raft.log.term(index)
+        if index > raft.log.base.index and term is not None and batch.base is None and not self.compacting:
+            batch.base = SnapMeta(index, term, raft.log.config_at(index))
+            self.compacting = index
+            self.stats.count("store_compactions")
+
+    def _synced(self, outs: list[Output]) -> None:
+        self.writing = False
+        if self.raft is None:
+            return
+        self.disk.point("synced")
+        if self.compacting:
+            self.raft.compact(self.compacting)
+            self.compacting = 0
+        self._written(outs)
+        self._settle()
+        self._write()
+
+    def _written(self, outs: list[Output]) -> None:
+        raft = self.raft
+        assert raft is not None
+        for out in outs:
+            for to, message in out.messages:
+                self._send(to, message)
+        last = next((o.entries[-1] for o in reversed(outs) if o.entries), None)
+        if last is not None:
+            raft.persisted(time.monotonic(), last.index, last.term)
+        self.disk.point("sent")
+
+    # Links
+
+    def _send(self, to: str, message: Message) -> None:
+        raft = self.raft
+        member = raft.config.get(to) if raft is not None else None
+        if member is None:
+            # Somebody who is not a member, or not yet: answered on whichever link we have to it.
+            for dial in self.net.dials.values():
+                if dial.link is not None and dial.link.id == to:
+                    dial.link.send(wire.Raft(message))
+            return
+        self.net.send(to, member.address, wire.Raft(message))
+
+    def _want_links(self) -> None:
+        addresses = {p.address for p in self.settings.peers if p.name != self.settings.name}
+        if self.raft is not None:
+            # A configuration that is in force goes over the file of the first start.
+            known = {m.name for m in self.raft.config.members}
+            peers = [p for p in self.settings.peers if p.name in known]
+            addresses = {m.address for m in self.raft.config.members} or {p.address for p in peers}
+        self.net.want(addresses - {self.settings.listen, self.settings.advertise})
+
+    def _linked(self, dial: Dial, link: Link) -> None:
+        theirs = link.channel.theirs
+        assert theirs is not None
+        if not self.identity.cluster:
+            self.forming.met(theirs)
+            formed = self.forming.form()
+            if formed is not None:
+                self._form(*formed)
+        elif not theirs.cluster and self.raft is not None and self.raft.config.get(theirs.id):
+            link.send(wire.Form(self.identity.cluster, self.raft.config))
+        link.closing.append(lambda: self.service.link_lost(theirs.id))
+        self.service.leader_changed()
+
+    def _ask_to_join(self) -> None:
+        for dial in self.net.dials.values():
+            theirs = dial.link.channel.theirs if dial.link is not None else None
+            if dial.link is not None and theirs is not None and theirs.cluster:
+                assert self.net.me is not None
+                dial.link.send(wire.Join(self.net.me))
+            elif dial.link is not None and dial.link.transport is not None and self.forming.waits_for(theirs):
+                dial.link.transport.close()  # asked again who it is: it may have formed since
+
+    def _heard(self, link: Link, word: wire.Word) -> None:
+        raft = self.raft
+        match word:
+            case wire.Ask():
+                self.service.asked(link, word)
+            case wire.Answer():
+                self.service.answered(link, word)
+            case wire.Raft() if link.id and raft is not None and not self.removed:
+                raft.step(time.monotonic(), link.id, word.message)
+                self._settle()
+            case wire.Form() if link.id and not self.identity.cluster:
+                if word.config.get(self.identity.id) is not None:
+                    self._form(word.cluster, word.config)
+                    self._want_links()
+            case wire.Join() if link.id == word.member.id and raft is not None:
+                self.service.take_in(link, word.member)
+            case wire.LeaseAsk() if link.id:
+                link.send(self._lease(word))
+            case wire.LeaseGrant() if link.id:
+                self._granted(word)
+            case wire.LeaseApplied() if link.id:
+                if self.granter is not None:
+                    self.granter.applied(word.holder, word.applied)
+                    self.granter.look(time.monotonic())
+            case wire.Gossip() if link.id:
+                self.gossiped(word)
+            case wire.Turned() if link.id and word.reason == "removed":
+                if raft is not None and not self.removed:
+                    self.removed = True
+                    self.stats.count("store_removed")
+                    log.warning("this member was removed from its cluster; it takes no part any more")
+            case _:
+                self.stats.count("store_words_unfit")
+
+    # Leases
+
+    def _lease(self, ask: wire.LeaseAsk) -> wire.LeaseGrant:
+        """A lease for a node, where this member leads for certain; else one of no length."""
+        raft, now = self.raft, time.monotonic()
+        if raft is None or self.granter is None or self.removed:
+            return wire.LeaseGrant(ask.holder, ask.serial, 0, 0, 0.0)
+        until = raft.lease_until(now) if not raft.transferee else NEVER
+        duration = self.granter.grant(now, ask.holder, ask.applied, until)
+        self.stats.count("store_leases_given" if duration else "store_leases_refused")
+        return wire.LeaseGrant(ask.holder, ask.serial, raft.term, raft.commit, duration)
+
+    def _renew(self, now: float) -> None:
+        if self.want_lease and self.holder.wants(now):
+            last = max(self.holder.asked.values(), default=NEVER)
+            if now - last >= 0.1:
+                ask = wire.LeaseAsk(self.holder.name, self.holder.ask(now), self.machine.index)
+                if self.raft is not None and self.raft.leads:
+                    self._granted(self._lease(ask))
+                else:
+                    self._to_leader(ask)
+        if self.want_lease:
+            self.lease_changed()
+
+    def _granted(self, g: wire.LeaseGrant) -> None:
+        now = time.monotonic()
+        self.holder.granted(now, g.serial, g.term, g.index, g.duration, self.machine.index)
+        self.lease_changed()
+
+    def fresh(self) -> bool:
+        """Whether a decision made now is by committed state."""
+        return self.holder.fresh(time.monotonic())
+
+    def _to_leader(self, word: wire.Word) -> bool:
+        raft = self.raft
+        leader = raft.config.get(raft.leader) if raft is not None and raft.leader else None
+        return leader is not None and self.net.send(leader.id, leader.address, word)
+
+    def to_all(self, word: wire.Word) -> None:
+        for dial in self.net.dials.values():
+            if dial.link is not None:
+                dial.link.send(word)
--- /dev/null
+++ b/gradegap/store/disk.py
@@ -0,0 +1,272 @@
+"""A member's folder: log, vote, identity and state in LMDB, written and synced in one transaction.
+
+Whatever is wrong with a folder is one plain error. Nothing is repaired by guess: a member that votes again
+after it forgot its vote can undo a committed change.
+"""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+import secrets
+import zlib
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TypeVar
+
+import lmdb
+import msgspec
+
+from gradegap.raft.types import Config, Entry, HardState, SnapMeta
+from gradegap.store.machine import Dirty, Event, Item, Session, State
+
+T = TypeVar("T")
+Put = Callable[[Any, bytes, object], None]
+FORMAT = 1
+MAP_SIZE = 1 << 30  # bytes of address space; the file grows as it is written
+SUM = 4
+REJOIN = "to rejoin, move the folder away and start again: the member comes back under a new identity"
+
+
+class BadFolder(Exception):
+    """A folder that a member can't start with, or write to; its text is one plain line."""
+
+
+class Identity(msgspec.Struct, frozen=True, array_like=True):
+    """Who this member is, for the life of its folder."""
+
+    id: str
+    cluster: str = ""  # none: it belongs to no cluster yet
+
+
+@dataclass(slots=True)
+class Batch:
+    """What is to be durable together."""
+
+    hard: HardState | None = None
+    identity: Identity | None = None
+    base: SnapMeta | None = None  # entries up to here can go
+    whole: State | None = None  # in place of all state and log
+    entries: list[Entry] = field(default_factory=list)
+    dirty: Dirty | None = None
+    applied: tuple[int, int, int] | None = None  # index, revision, clock of the state with `dirty`
+
+
+@dataclass(slots=True)
+class Found:
+    """What a folder had."""
+
+    identity: Identity
+    hard: HardState
+    base: SnapMeta
+    entries: list[Entry]
+    state: State
+
+
+def seal(key: bytes, body: bytes) -> bytes:
+    return zlib.crc32(body, zlib.crc32(key)).to_bytes(SUM, "big") + body
+
+
+def unseal(key: bytes, raw: bytes) -> bytes:
+    body = raw[SUM:]
+    if len(raw) < SUM or seal(key, body)[:SUM] != raw[:SUM]:
+        raise ValueError(f"the checksum of {key!r} is wrong")
+    return body
+
+
+def place(number: int) -> bytes:
+    return number.to_bytes(8, "big")
+
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class Disk:
+    """One process's hold on a folder."""
+
+    def __init__(self, folder: Path, map_size: int = MAP_SIZE) -> None:
+        self.folder = folder
+        self.point: Callable[[str], None] = lambda name: None  # where tests end the process
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.lock = os.open(folder / "in-use", os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            raise BadFolder(f"the store's folder {folder} can't be used: {error.strerror}") from None
+        try:
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self.lock)
+            raise BadFolder(f"another process uses the store's folder {folder}") from None
+        self.fresh = not (folder / "data.mdb").exists()
+        try:
+            self._check_size()
+            self.env = lmdb.open(
+                str(folder), map_size=map_size, max_dbs=8, mode=0o600, readahead=False, lock=False
+            )
+            self._check_pages()
+            self.meta, self.log, self.keys, self.history, self.sessions = (
+                self.env.open_db(name) for name in (b"meta", b"log", b"keys", b"history", b"sessions")
+            )
+        except (lmdb.Error, OSError) as error:
+            os.close(self.lock)
+            raise self._bad(str(error)) from None
+
+    def _bad(self, why: str) -> BadFolder:
+        return BadFolder(f"the store's folder {self.folder} is damaged ({why}); {REJOIN}")
+
+    def _check_size(self) -> None:
+        """Guards against a file that was cut: mapped, its missing pages would end the process by a signal."""
+        path = self.folder / "data.mdb"
+        if not self.fresh and path.stat().st_size < 2 * 4096:
+            raise lmdb.Error("its file is cut short")
+
+    def _check_pages(self) -> None:
+        page = self.env.stat()["psize"]
+        if self.fresh:
+            return
+        if (self.env.info()["last_pgno"] + 1) * page > (self.folder / "data.mdb").stat().st_size:
+            raise lmdb.Error("its file is cut short")
+
+    def start(self) -> Found:
+        """What the folder holds; a new identity where it is new."""
+        try:
+            with self.env.begin() as txn:
+                raw = txn.get(b"format", db=self.meta)
+                if raw is None:
+                    if any(txn.stat(db)["entries"] for db in (self.meta, self.log, self.keys)):
+                        raise ValueError("it has no format")
+                    found = None
+                else:
+                    version = int.from_bytes(unseal(b"format", bytes(raw)), "big")
+                    if version > FORMAT:
+                        raise BadFolder(
+                            f"the folder {self.folder} is of format {version}, this version reads up to "
+                            f"{FORMAT}: start a newer one"
+                        )
+                    found = self._read(txn)
+        except (lmdb.Error, ValueError, msgspec.MsgspecError, KeyError) as error:
+            raise self._bad(str(error)) from None
+        if found is not None:
+            return found
+        # Written before anybody hears of it: a member is who its folder says.
+        batch = Batch(HardState(), Identity(secrets.token_hex(8)), SnapMeta(0, 0, Config()))
+        batch.applied = (0, 0, 0)
+        self._create(batch)
+        return self.start()
+
+    def _create(self, batch: Batch) -> None:
+        with self._writing() as txn:
+            txn.put(b"format", seal(b"format", FORMAT.to_bytes(2, "big")), db=self.meta)
+            self._put(txn, batch)
+
+    def _read(self, txn: lmdb.Transaction) -> Found:
+        def one(name: bytes, kind: type[T]) -> T:
+            raw = txn.get(name, db=self.meta)
+            if raw is None:
+                raise ValueError(f"it lacks {name.decode()}")
+            return msgspec.msgpack.decode(unseal(name, bytes(raw)), type=kind)
+
+        def every(db: Any, kind: type[T]) -> list[T]:
+            decoder = msgspec.msgpack.Decoder(kind)
+            return [decoder.decode(unseal(bytes(key), bytes(raw))) for key, raw in txn.cursor(db)]
+
+        base = one(b"base", SnapMeta)
+        index, revision, clock = one(b"applied", tuple[int, int, int])
+        entries = every(self.log, Entry)
+        for k, entry in enumerate(entries, base.index + 1):
+            if entry.index != k:
+                raise ValueError(f"its log lacks entry {k}")
+        if not base.index <= index <= base.index + len(entries):
+            raise ValueError(f"its state is of entry {index}, its log ends at {base.index + len(entries)}")
+        items, events = every(self.keys, Item), every(self.history, Event)
+        state = State(index, revision, clock, items, events, every(self.sessions, Session))
+        return Found(one(b"identity", Identity), one(b"hard", HardState), base, entries, state)
+
+    @contextmanager
+    def _writing(self) -> Iterator[lmdb.Transaction]:
+        """One transaction, synced at its end; `BadFolder` where that fails, and then nothing is written."""
+        try:
+            with self.env.begin(write=True) as txn:
+                yield txn
+                self.point("before-commit")
+            self.point("after-commit")
+        except lmdb.MapFullError:
+            raise BadFolder(
+                f"the store's folder {self.folder} is full: {self.env.info()['map_size']} bytes"
+            ) from None
+        except (lmdb.Error, OSError) as error:
+            full = any(os.strerror(e) in str(error) for e in (errno.ENOSPC, errno.EFBIG, errno.EDQUOT))
+            why = "its disk is full" if full else str(error)
+            raise BadFolder(f"the store's folder {self.folder} can't be written: {why}") from None
+
+    def write(self, batch: Batch) -> None:
+        """All of it or none, and on the disk once this returns."""
+        with self._writing() as txn:
+            self._put(txn, batch)
+
+    def _put(self, txn: lmdb.Transaction, b: Batch) -> None:
+        def put(db: Any, key: bytes, value: object) -> None:
+            txn.put(key, seal(key, _encode(value)), db=db)
+
+        if b.whole is not None:
+            for db in (self.log, self.keys, self.history, self.sessions):
+                txn.drop(db, delete=False)
+            for item in b.whole.items:
+                put(self.keys, item.key.encode(), item)
+            for event in b.whole.events:
+                put(self.history, place(event.revision) + place(event.order), event)
+            for session in b.whole.sessions:
+                put(self.sessions, session.client.encode(), session)
+            self.point("whole")
+        if b.identity is not None:
+            put(self.meta, b"identity", b.identity)
+        if b.hard is not None:
+            put(self.meta, b"hard", b.hard)
+        if b.entries:
+            # What stood from here on was replaced by a newer leader's.
+            self._cut(txn, self.log, place(b.entries[0].index), None)
+            for entry in b.entries:
+                put(self.log, place(entry.index), entry)
+            self.point("entries")
+        if b.dirty is not None:
+            self._put_dirty(txn, b.dirty, put)
+        if b.applied is not None:
+            put(self.meta, b"applied", b.applied)
+        if b.base is not None:
+            put(self.meta, b"base", b.base)
+            self._cut(txn, self.log, None, place(b.base.index + 1))
+
+    def _put_dirty(self, txn: lmdb.Transaction, dirty: Dirty, put: Put) -> None:
+        for key, item in dirty.items.items():
+            if item is None:
+                txn.delete(key.encode(), db=self.keys)
+            else:
+                put(self.keys, key.encode(), item)
+        for event in dirty.events:
+            put(self.history, place(event.revision) + place(event.order), event)
+        if dirty.events_from:
+            self._cut(txn, self.history, None, place(dirty.events_from))
+        for client, session in dirty.sessions.items():
+            if session is None:
+                txn.delete(client.encode(), db=self.sessions)
+            else:
+                put(self.sessions, client.encode(), session)
+        self.point("state")
+
+    def _cut(self, txn: lmdb.Transaction, db: Any, first: bytes | None, end: bytes | None) -> None:
+        """Remove what stands from `first` on, up to before `end`."""
+        cursor = txn.cursor(db)
+        there = cursor.set_range(first) if first is not None else cursor.first()
+        while there and (end is None or bytes(cursor.key()) < end):
+            there = cursor.delete()
+
+    def size(self) -> int:
+        """Bytes of the file."""
+        return (self.folder / "data.mdb").stat().st_size
+
+    def close(self) -> None:
+        self.env.close()
+        os.close(self.lock)
--- /dev/null
+++ b/gradegap/store/links.py
@@ -0,0 +1,226 @@
+"""Links between members, and from clients: TCP on loopback, made, proven, bounded and counted.
+
+What a member sends another goes over the link that it dialed itself; answers come back on the link that the
+question came by. So each direction fails alone, as networks do.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import cast
+
+import structlog
+
+from gradegap.net.backend import split_address
+from gradegap.raft.types import Member
+from gradegap.stats import Stats
+from gradegap.store.wire import BadLink, Channel, Word
+
+log = structlog.get_logger()
+
+MOST_LINKS = 256  # accepted
+PROVE_WAIT = 2.0  # s in which a link must be proven
+CONNECT_WAIT = 1.0
+AGAIN = (0.05, 1.0)  # s between two tries at a member that is away: at first, and at the most
+MOST_UNSENT = 8 * 1024 * 1024  # bytes for a member that reads slowly; what is more is dropped
+
+
+class Link(asyncio.Protocol):
+    """A connection, whichever side opened it."""
+
+    def __init__(self, net: Network, channel: Channel, dial: Dial | None = None) -> None:
+        self.net, self.channel, self.dial = net, channel, dial
+        self.transport: asyncio.Transport | None = None
+        self.guard: asyncio.TimerHandle | None = None
+        self.closing: list[Callable[[], None]] = []  # called once it has ended
+        self.why = ""
+
+    @property
+    def id(self) -> str:
+        """Who is at the other end, once that is proven; empty for a client."""
+        theirs = self.channel.theirs
+        return theirs.id if theirs is not None and self.channel.proven else ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=1 << 20)
+        if self.dial is None and len(self.net.accepted) >= MOST_LINKS:
+            self.end("full")
+            return
+        self.net.all.add(self)
+        if self.dial is None:
+            self.net.accepted.add(self)
+        else:
+            self.transport.write(self.channel.begin())
+        self.guard = self.net.loop.call_later(PROVE_WAIT, self._unproven)
+
+    def _unproven(self) -> None:
+        if not self.channel.proven:
+            self.end("silent")
+
+    def data_received(self, data: bytes) -> None:
+        was_proven = self.channel.proven
+        try:
+            words, reply = self.channel.receive(data)
+        except BadLink as error:
+            reason, _, text = str(error).partition(": ")
+            if self.transport is not None and reason != "turned":
+                self.transport.write(self.channel.turn(str(error)))
+            self.end(reason, text)
+            return
+        if reply and self.transport is not None:
+            self.transport.write(reply)
+        if self.channel.proven and not was_proven:
+            if self.guard is not None:
+                self.guard.cancel()
+            if self.dial is not None:
+                self.dial.proven(self)
+        for word in words:
+            if self.transport is None:
+                return
+            self.net.heard(self, word)
+
+    def send(self, word: Word) -> bool:
+        t = self.transport
+        if t is None or t.is_closing() or not self.channel.proven:
+            return False
+        if t.get_write_buffer_size() > MOST_UNSENT:
+            # Guards memory against a member that is stopped: what the core says is said again anyway.
+            self.net.stats.count("store_dropped_slow")
+            return False
+        t.write(self.channel.send(word))
+        return True
+
+    def unsent(self) -> int:
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def end(self, reason: str, text: str = "") -> None:
+        """End it for a reason, which is counted and logged."""
+        if self.transport is None or self.why:
+            return
+        self.why = reason
+        self.net.stats.count(f"store_link_{reason}")
+        name = self.dial.address if self.dial is not None else self.transport.get_extra_info("peername")
+        log.warning("store link ended", reason=reason, detail=text, peer=str(name))
+        self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.guard is not None:
+            self.guard.cancel()
+        self.net.all.discard(self)
+        self.net.accepted.discard(self)
+        closing, self.closing = self.closing, []
+        for each in closing:
+            each()
+        if self.dial is not None:
+            self.dial.lost(self)
+
+
+class Dial:
+    """Keeps a link to one address, for as long as it is wanted."""
+
+    def __init__(self, net: Network, address: str) -> None:
+        self.net, self.address = net, address
+        self.link: Link | None = None
+        self.wait = AGAIN[0]
+        self.stopped = False
+        self.task: asyncio.Task[None] | None = None
+        self._start()
+
+    def _start(self) -> None:
+        if not self.stopped:
+            self.task = self.net.loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        # The one task: it ends once the connection stands or has failed.
+        host, port = split_address(self.address)
+        link = Link(self.net, self.net.channel(dials=True), self)
+        try:
+            await asyncio.wait_for(self.net.loop.create_connection(lambda: link, host, port), CONNECT_WAIT)
+        except (OSError, TimeoutError):
+            self._again()
+
+    def _again(self) -> None:
+        if not self.stopped:
+            wait = self.wait * random.uniform(0.5, 1.0)
+            self.wait = min(self.wait * 2, AGAIN[1])
+            self.net.loop.call_later(wait, self._start)
+
+    def proven(self, link: Link) -> None:
+        self.link = link
+        self.wait = AGAIN[0]
+        self.net.linked(self, link)
+
+    def lost(self, link: Link) -> None:
+        if self.link is link:
+            self.link = None
+        self._again()
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.task is not None:
+            self.task.cancel()
+        if self.link is not None and self.link.transport is not None:
+            self.link.transport.close()
+
+
+class Network:
+    """All links of a member."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        stats: Stats,
+        secret: bytes,
+        heard: Callable[[Link, Word], None],
+        linked: Callable[[Dial, Link], None],
+    ) -> None:
+        self.loop, self.stats, self.secret = loop, stats, secret
+        self.heard, self.linked = heard, linked
+        self.me: Member | None = None
+        self.cluster = ""
+        self.all: set[Link] = set()
+        self.accepted: set[Link] = set()
+        self.dials: dict[str, Dial] = {}  # by address
+        self.server: asyncio.Server | None = None
+        self.began = time.monotonic()
+
+    def channel(self, dials: bool) -> Channel:
+        return Channel.open(self.secret, "member", dials, self.me, self.cluster)
+
+    async def listen(self, address: str) -> None:
+        host, port = split_address(address)
+        self.server = await self.loop.create_server(
+            lambda: Link(self, self.channel(dials=False)), host, port, reuse_address=True
+        )
+
+    def want(self, addresses: set[str]) -> None:
+        """Keep links to these, and to no others."""
+        for address in addresses - self.dials.keys():
+            self.dials[address] = Dial(self, address)
+        for address in self.dials.keys() - addresses:
+            self.dials.pop(address).stop()
+
+    def send(self, member: str, address: str, word: Word) -> bool:
+        """Over the link dialed to a member; False where there is none, or it is another life of it."""
+        dial = self.dials.get(address)
+        if dial is None or dial.link is None or dial.link.id != member:
+            return False
+        return dial.link.send(word)
+
+    def cluster_is(self, cluster: str) -> None:
+        """Links said nothing of it before: they are made anew."""
+        self.cluster = cluster
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for dial in self.dials.values():
+            dial.stop()
+        for link in list(self.all):
+            if link.transport is not None:
+                link.transport.close()
--- /dev/null
+++ b/gradegap/store/schema.py
@@ -0,0 +1,90 @@
+"""What keys of the store may hold. A new kind of configuration is a field here, and nowhere else.
+
+Checked by whoever proposes a value and by whoever lets it take effect, not by the log: members of two
+versions must come to the same state.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from gradegap.store.machine import BadCommand, Op
+
+LogLevel = Literal["debug", "info", "warning", "error"]
+Count = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True):
+    """`config/` keys: what operators set for all nodes."""
+
+    log_level: Annotated[LogLevel, msgspec.Meta(description="the least level that is logged")] = "info"
+    quic_accept: Annotated[bool, msgspec.Meta(description="whether the QUIC front takes new sessions")] = True
+    quic_max_sessions: Annotated[Count, msgspec.Meta(description="sessions over QUIC at once")] = 4000
+    motd: Annotated[
+        str, msgspec.Meta(max_length=200, description="a note for whoever looks at the configuration")
+    ] = ""
+
+
+class Out(msgspec.Struct, forbid_unknown_fields=True):
+    """`out/SERVER`: a save server that is out by hand, at every node."""
+
+    at_ms: Annotated[int, msgspec.Meta(ge=0, description="since when, Unix time in ms")] = 0
+    by: Annotated[str, msgspec.Meta(max_length=128, description="who took it out")] = ""
+    why: Annotated[str, msgspec.Meta(max_length=200)] = ""
+
+
+class Invited(msgspec.Struct, forbid_unknown_fields=True):
+    """`cluster/invited/NAME`: a member that may come."""
+
+    address: Annotated[str, msgspec.Meta(pattern=r":\d+$")]
+
+
+FIELDS = {f.encode_name: f for f in msgspec.structs.fields(Settings)}
+
+
+def check_value(key: str, value: Any) -> Any:
+    """The value as it takes effect; `ValueError` in one line where it can't."""
+    place, _, name = key.partition("/")
+    try:
+        if place == "config":
+            field = FIELDS.get(name)
+            if field is None:
+                raise ValueError(f"there is no {key}; there are {', '.join(sorted(FIELDS))}")
+            return msgspec.convert(value, field.type)
+        if place == "out":
+            return msgspec.convert(value, Out)
+        if key.startswith("cluster/invited/"):
+            return msgspec.convert(value, Invited)
+    except msgspec.ValidationError as error:
+        raise ValueError(f"{key}: {re.sub(r' - at .*', '', str(error))}") from None
+    return value
+
+
+def check(op: Op) -> None:
+    """`BadCommand` where a write doesn't fit its key."""
+    if not op.delete:
+        try:
+            check_value(op.key, op.value)
+        except ValueError as error:
+            raise BadCommand(f"invalid: {error}") from None
+
+
+def default(name: str) -> Any:
+    return FIELDS[name].default
+
+
+def json_schema() -> dict[str, Any]:
+    """JSON Schema of all keys, for editors and for review."""
+    parts, defs = msgspec.json.schema_components((Settings, Out, Invited), ref_template="#/$defs/{name}")
+    config, out, invited = parts
+    return {
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        "title": "keys of the store",
+        "type": "object",
+        "properties": {"config/": config},
+        "patternProperties": {"^out/.+": out, "^cluster/invited/.+": invited},
+        "$defs": defs,
+    }
--- /dev/null
+++ b/gradegap/store/service.py
@@ -0,0 +1,530 @@
+"""What clients ask of a member: answered here, or by the leader, and tried again until it is known or late.
+
+A write is named (`client`, `seq`, `until`) before it is first proposed, so that it can be proposed again
+when a leader is lost, and is applied once. Three ends are told apart: done; "no_quorum", where nobody ever
+took it; and "unknown", where somebody did and nobody can say by now what came of it.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import structlog
+
+from gradegap.raft.core import Refused
+from gradegap.raft.types import Entry, Kind, Member
+from gradegap.store import leases, schema, wire
+from gradegap.store.machine import BadCommand, Command, Event, Op, Result, check_op, pack
+
+if TYPE_CHECKING:
+    from gradegap.store.daemon import Daemon
+    from gradegap.store.links import Link
+
+log = structlog.get_logger()
+
+MOST_PENDING = 4096
+MOST_LEFT = 60.0  # s that a client may be willing to wait
+LIFE = 120_000  # ms of log time within which a write may be applied
+RETRY = 0.05  # s
+ALIVE = 2.0  # s since a word of a member, within which no new life may take its place
+PIECE = 512 * 1024  # bytes of a snapshot in one answer
+MOST_WATCHES = 1000
+MOST_UNSENT = 4 * 1024 * 1024  # bytes for a watcher that reads slowly; then its link ends
+INVITED = "cluster/invited/"
+
+TRANSIENT = ("not_leader", "transferring", "not_ready")  # reasons that another try may not meet
+
+Done = Callable[[wire.Answer], None]
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    """A wish under way."""
+
+    serial: int
+    wish: wire.Wish
+    done: Done
+    until: float  # steady time at which whoever asks gives up
+    relayed: bool  # it came from a member, which tries again itself
+    taken: bool = False  # a leader had it: what came of it may be unknown
+    waits_for: str = ""  # "leader", "commit", "read", "applied", "seen" or "member": the id asked
+    index: int = 0
+    term: int = 0
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Watching:
+    link: Link
+    serial: int
+    prefix: str
+
+
+class Service:
+    def __init__(self, member: Daemon) -> None:
+        self.member = member
+        self.stats = member.stats
+        self.serial = 0
+        self.pending: dict[int, Pending] = {}
+        self.by_index: dict[int, list[Pending]] = {}
+        self.reading: dict[int, Pending] = {}
+        self.watching: set[Watching] = set()
+        self.name = secrets.token_hex(6)
+        self.named = 0
+        self.clock = (0.0, 0)  # steady time, and the leader's log time then
+        self.last_retry = 0.0
+        self.nodes: dict[str, tuple[float, dict[str, Any]]] = {}  # what nodes said of themselves, and when
+        member.machine.watchers.append(self._changed)
+        self.stats.gauge("store_pending", lambda: len(self.pending))
+        self.stats.gauge("store_watches", lambda: len(self.watching))
+
+    # From links
+
+    def asked(self, link: Link, ask: wire.Ask) -> None:
+        if isinstance(ask.wish, wire.Watch):
+            self._watch(link, ask.serial, ask.wish)
+            return
+
+        def done(answer: wire.Answer) -> None:
+            link.send(msgspec.structs.replace(answer, serial=ask.serial))
+
+        if isinstance(ask.wish, wire.Snapshot):
+            self._snapshot(ask, done)
+        else:
+            self.request(ask.wish, done, ask.left, relayed=bool(link.id))
+
+    def request(self, wish: wire.Wish, done: Done, left: float = 5.0, relayed: bool = False) -> None:
+        """`done` with one answer, at the latest after `left` seconds."""
+        if len(self.pending) >= MOST_PENDING:
+            self.stats.count("store_busy")
+            done(wire.Answer(0, "no", "busy: too many wishes are under way"))
+            return
+        try:
+            wish = self._checked(wish)
+        except BadCommand as error:
+            self.stats.count(f"store_refused_{str(error).split(':')[0]}")
+            done(wire.Answer(0, "no", str(error)))
+            return
+        self.serial += 1
+        until = time.monotonic() + min(left, MOST_LEFT)
+        p = Pending(self.serial, wish, done, until, relayed)
+        self.pending[p.serial] = p
+        self._try(p)
+
+    def _checked(self, wish: wire.Wish) -> wire.Wish:
+        """Turn down what no member would apply, and give a write its name."""
+        if not isinstance(wish, wire.Write):
+            return wish
+        for op in (*wish.then, *wish.otherwise):
+            check_op(op)
+            schema.check(op)
+        if len(wish.client) > 64 or len(wish.author) > 128:
+            raise BadCommand("bad_name: a client's or author's name is too long")
+        if wish.client and wish.until:
+            return wish
+        self.named += 1
+        client = wish.client or f"{self.name}-{self.named}"
+        return msgspec.structs.replace(wish, client=client, seq=wish.seq or 1, until=self.log_clock() + LIFE)
+
+    def log_clock(self) -> int:
+        """The log's time, as far as it is known here; it may be behind."""
+        raft = self.member.raft
+        if raft is not None and raft.leads:
+            return self.member.log_clock()
+        at, base = self.clock
+        return max(self.member.machine.clock, base + int((time.monotonic() - at) * 1000) if base else 0)
+
+    # One try
+
+    def _try(self, p: Pending) -> None:
+        m = self.member
+        raft = m.raft
+        if isinstance(p.wish, wire.Status):
+            self._answer(p, wire.Answer(0, status=self.status()))
+        elif isinstance(p.wish, wire.Digest):
+            self._answer(p, wire.Answer(0, text=m.machine.digest(), revision=m.machine.revision))
+        elif isinstance(p.wish, wire.Get | wire.List) and p.wish.stale:
+            self._answer(p, self._read(p.wish))
+        elif raft is None or m.removed:
+            if m.removed:
+                self._answer(p, wire.Answer(0, "no", "removed: this member belongs to no cluster"))
+            else:
+                p.waits_for = "leader"
+        elif raft.leads:
+            self._lead(p)
+        elif p.relayed:
+            self._answer(p, wire.Answer(0, "no", "not_leader: ask again"))
+        else:
+            self._pass_on(p)
+
+    def _pass_on(self, p: Pending) -> None:
+        m, raft = self.member, self.member.raft
+        assert raft is not None
+        left = p.until - time.monotonic()
+        if raft.leader and left > 0 and m._to_leader(wire.Ask(p.serial, p.wish, left)):
+            p.waits_for, p.taken = raft.leader, True
+            if isinstance(p.wish, wire.Write):
+                p.wish = msgspec.structs.replace(p.wish, tries=p.wish.tries + 1)
+        else:
+            p.waits_for = "leader"
+
+    def _lead(self, p: Pending) -> None:
+        m, raft, now = self.member, self.member.raft, time.monotonic()
+        assert raft is not None
+        w = p.wish
+        try:
+            match w:
+                case wire.Write():
+                    if p.relayed and not w.tries and w.until < m.log_clock() + LIFE // 2:
+                        raise Refused("restamp: it bears a time that is over")
+                    body = Command(w.client, w.seq, w.until, w.author, w.compares, w.then, w.otherwise)
+                    self._wait_for(p, m.propose(body))
+                case wire.AddMember():
+                    op = Op(INVITED + w.name, {"address": w.address})
+                    p.wish = self._checked(wire.Write((op,), author="operator"))
+                    self._lead(p)
+                case wire.RemoveMember():
+                    found = raft.config.named(w.name)
+                    if found is None:
+                        raise Refused(f"no_such_member: {w.name}")
+                    self._wait_for(p, raft.remove(now, found.id))
+                    m._flush()
+                case wire.TakeIn():
+                    self._take_in(p, w.member)
+                    m._flush()
+                case wire.Transfer():
+                    found = raft.config.named(w.name)
+                    if found is None:
+                        raise Refused(f"no_such_member: {w.name}")
+                    raft.transfer(now, found.id)
+                    p.waits_for = "transfer"
+                    m._settle()
+                case _:
+                    self.reading[p.serial] = p
+                    p.waits_for = "read"
+                    raft.read(now, p.serial)
+                    m._settle()
+        except Refused as error:
+            self.reading.pop(p.serial, None)
+            reason = str(error).split(":")[0].split(" ")[0]
+            self.stats.count(f"store_refused_{reason}")
+            if reason in TRANSIENT and not p.relayed:
+                p.waits_for = "leader"
+            else:
+                self._answer(p, wire.Answer(0, "no", str(error)))
+
+    def _wait_for(self, p: Pending, index: int) -> None:
+        raft = self.member.raft
+        assert raft is not None
+        p.taken, p.waits_for, p.index, p.term = True, "commit", index, raft.term
+        self.by_index.setdefault(index, []).append(p)
+
+    # What came of it
+
+    def applied(self, entry: Entry, result: Result) -> None:
+        for p in self.by_index.pop(entry.index, ()):
+            if p.over:
+                continue
+            if entry.term != p.term:
+                # Another leader's entry stands there: this one was never committed.
+                p.waits_for = "leader"
+                continue
+            self._committed(p, entry, result)
+
+    def _committed(self, p: Pending, entry: Entry, result: Result) -> None:
+        if result.error:
+            reason = result.error.split(":")[0]
+            outcome = "unknown" if reason in ("stale", "too_old") else "no"
+            self._answer(p, wire.Answer(0, outcome, result.error))
+            return
+        answer = wire.Answer(0, revision=result.revision, succeeded=result.succeeded)
+        m = self.member
+        if isinstance(p.wish, wire.Write) and m.granter is not None:
+            ops = (*p.wish.then, *p.wish.otherwise)
+            if leases.binds([op.key for op in ops]):
+                # Nobody may decide by what stood before, once it is said to be replaced.
+                p.waits_for = "seen"
+                now = time.monotonic()
+                m.granter.when_seen(now, entry.index, lambda: self._answer(p, answer))
+                return
+        if entry.kind is Kind.CONFIG and isinstance(p.wish, wire.TakeIn):
+            answer = wire.Answer(0, text="taken in", revision=result.revision)
+        self._answer(p, answer)
+
+    def read_at(self, number: int, index: int) -> None:
+        p = self.reading.pop(number, None)
+        if p is not None and not p.over:
+            p.waits_for, p.index = "applied", index
+            if self.member.machine.index >= index:
+                self._answer(p, self._read(p.wish))
+            else:
+                self.by_index.setdefault(-1, []).append(p)
+
+    def caught_up(self, index: int) -> None:
+        waiting = self.by_index.pop(-1, [])
+        later = [p for p in waiting if p.index > index and not p.over]
+        if later:
+            self.by_index[-1] = later
+        for p in waiting:
+            if p.index <= index and not p.over:
+                self._answer(p, self._read(p.wish))
+
+    def unread(self, number: int) -> None:
+        p = self.reading.pop(number, None)
+        if p is not None:
+            p.waits_for = "leader"
+
+    def _read(self, wish: wire.Wish) -> wire.Answer:
+        m = self.member.machine
+        try:
+            match wish:
+                case wire.Get():
+                    item = m.get(wish.key)
+                    return wire.Answer(0, revision=m.revision, items=[item] if item is not None else [])
+                case wire.List():
+                    return wire.Answer(0, revision=m.revision, items=m.list(wish.prefix))
+                case wire.History():
+                    since = max(wish.least, m.first_watchable)
+                    return wire.Answer(0, revision=m.revision, events=list(m.since(since, wish.prefix)))
+                case wire.At():
+                    then = m.at(wish.revision, wish.prefix)
+                    return wire.Answer(0, revision=m.revision, status=then)
+                case _:
+                    return wire.Answer(0, "no", "bad_wish: nothing to read")
+        except BadCommand as error:
+            return wire.Answer(0, "no", str(error))
+
+    def _answer(self, p: Pending, answer: wire.Answer) -> None:
+        if p.over:
+            return
+        p.over = True
+        self.pending.pop(p.serial, None)
+        self.reading.pop(p.serial, None)
+        self.stats.count(f"store_answers_{answer.outcome}")
+        p.done(msgspec.structs.replace(answer, clock=self.log_clock()))
+
+    def answered(self, link: Link, answer: wire.Answer) -> None:
+        """By the leader, to a wish that was passed on."""
+        p = self.pending.get(answer.serial)
+        if p is None or p.over or p.waits_for != link.id:
+            return
+        if answer.clock:
+            self.clock = (time.monotonic(), answer.clock)
+        reason = answer.text.split(":")[0].split(" ")[0]
+        if reason == "restamp" and isinstance(p.wish, wire.Write):
+            # Nobody took it: it only bore a time that this member had not kept up with.
+            p.wish = msgspec.structs.replace(p.wish, until=self.log_clock() + LIFE, tries=0)
+            p.taken, p.waits_for = False, "leader"
+        elif answer.outcome == "no_quorum" or (answer.outcome == "no" and reason in TRANSIENT):
+            p.waits_for = "leader"
+        else:
+            self._answer(p, answer)
+
+    # When leaders change, and when time goes by
+
+    def lost_leader(self) -> None:
+        """This member leads no more, or anew: what it was about to say can only be said after another try."""
+        for p in list(self.pending.values()):
+            if p.waits_for in ("commit", "read", "seen", "applied", "transfer"):
+                p.waits_for = "leader"
+        self.by_index.clear()
+        self.reading.clear()
+        self.last_retry = 0.0
+
+    def link_lost(self, member: str) -> None:
+        for p in list(self.pending.values()):
+            if p.waits_for == member:
+                p.waits_for = "leader"
+
+    def leader_changed(self) -> None:
+        raft = self.member.raft
+        leader = raft.leader if raft is not None else ""
+        for p in list(self.pending.values()):
+            if p.waits_for not in ("leader", "commit", "read", "seen", "applied", "transfer", leader):
+                p.waits_for = "leader"  # a member was asked that leads no more
+        self.last_retry = 0.0
+
+    def tick(self, now: float) -> None:
+        for p in list(self.pending.values()):
+            if now >= p.until:
+                self._late(p)
+        if now - self.last_retry >= RETRY:
+            self.last_retry = now
+            for p in list(self.pending.values()):
+                if p.waits_for == "leader" and not p.over:
+                    if p.relayed:
+                        self._answer(p, wire.Answer(0, "no", "not_leader: ask again"))
+                    else:
+                        self._try(p)
+                elif p.waits_for == "transfer":
+                    self._look_at_transfer(p)
+
+    def _late(self, p: Pending) -> None:
+        writes = isinstance(p.wish, wire.Write | wire.AddMember | wire.RemoveMember | wire.Transfer)
+        if writes and p.taken:
+            text = "unknown: it may be committed or not; nobody could say in time"
+            self._answer(p, wire.Answer(0, "unknown", text))
+        else:
+            text = "no_quorum: no leader with a quorum answered in time"
+            self._answer(p, wire.Answer(0, "no_quorum", text))
+
+    def _look_at_transfer(self, p: Pending) -> None:
+        raft = self.member.raft
+        if raft is not None and raft.leads and not raft.transferee and isinstance(p.wish, wire.Transfer):
+            self._answer(p, wire.Answer(0, "no", "failed: it did not take over in time"))
+
+    # Members that come
+
+    def take_in(self, link: Link, member: Member) -> None:
+        def done(answer: wire.Answer) -> None:
+            raft = self.member.raft
+            if answer.outcome == "ok" and raft is not None:
+                config = raft.config
+                if config.get(member.id) is None:
+                    config = config.plus(msgspec.structs.replace(member, voter=False))
+                link.send(wire.Form(self.member.identity.cluster, config))
+            elif answer.outcome == "no":
+                log.info("member not taken in", member=member.name, reason=answer.text)
+
+        if any(isinstance(p.wish, wire.TakeIn) and p.wish.member == member for p in self.pending.values()):
+            return
+        self.request(wire.TakeIn(member), done, 2.0)
+
+    def _take_in(self, p: Pending, member: Member) -> None:
+        """An earlier life of a member is removed first; then the new one is added, and asks once more."""
+        m, raft, now = self.member, self.member.raft, time.monotonic()
+        assert raft is not None
+        if raft.config.get(member.id) is not None:
+            self._answer(p, wire.Answer(0, text="taken in"))
+            return
+        old = raft.config.named(member.name)
+        if old is not None:
+            progress = raft.peers.get(old.id)
+            if old.id == m.identity.id or (progress is not None and now - progress.heard_at < ALIVE):
+                raise Refused(f"alive: another daemon is {member.name} and answers")
+            raft.remove(now, old.id)
+            self.stats.count("store_lives_replaced")
+            log.warning("an earlier life of a member is removed", member=member.name, id=old.id)
+            invite = Op(INVITED + member.name, {"address": member.address})
+            m.propose(Command(f"again-{member.id}", 1, m.log_clock() + LIFE, "store", (), (invite,)))
+            self._answer(p, wire.Answer(0, "no", "again: its earlier life is removed first"))
+            return
+        item = m.machine.get(INVITED + member.name)
+        if item is None:
+            raise Refused(f"not_invited: nobody added {member.name}; see `gradegap store add`")
+        learner = msgspec.structs.replace(member, voter=False)
+        self._wait_for(p, raft.add(now, learner))
+
+    # Watches
+
+    def _watch(self, link: Link, serial: int, wish: wire.Watch) -> None:
+        machine = self.member.machine
+        if len(self.watching) >= MOST_WATCHES:
+            self.stats.count("store_busy")
+            link.send(wire.Answer(serial, "no", "busy: too many watches"))
+            return
+        try:
+            since = list(machine.since(wish.revision, wish.prefix)) if wish.revision else []
+        except BadCommand as error:
+            link.send(wire.Answer(serial, "no", str(error)))
+            return
+        for k in range(0, len(since), 200):
+            link.send(wire.Answer(serial, revision=machine.revision, events=since[k : k + 200], more=True))
+        watching = Watching(link, serial, wish.prefix)
+        self.watching.add(watching)
+        link.closing.append(lambda: self.watching.discard(watching))
+        link.send(wire.Answer(serial, text="watching", revision=machine.revision, more=True))
+
+    def _changed(self, events: list[Event]) -> None:
+        for w in list(self.watching):
+            mine = [e for e in events if e.key.startswith(w.prefix)]
+            if not mine:
+                continue
+            if w.link.unsent() > MOST_UNSENT:
+                # It can come again from the revision that it saw last, and will miss nothing.
+                w.link.end("slow_watcher")
+                continue
+            revision = max(e.revision for e in mine)
+            w.link.send(wire.Answer(w.serial, revision=revision, events=mine, more=True))
+
+    # Whole
+
+    def _snapshot(self, ask: wire.Ask, done: Done) -> None:
+        """Read linearizably, then packed in a thread, then sent in pieces."""
+        m = self.member
+
+        def read(answer: wire.Answer) -> None:
+            if answer.outcome != "ok":
+                done(answer)
+                return
+            m._in_thread(m.thread.submit(pack, m.machine.state()), packed)
+
+        def packed(data: bytes) -> None:
+            revision = m.machine.revision
+            for k in range(0, len(data), PIECE):
+                more = k + PIECE < len(data)
+                done(wire.Answer(0, revision=revision, data=data[k : k + PIECE], more=more))
+
+        if m.raft is not None and not m.raft.leads:
+            # The state is read here: this member first waits until it has what the leader had committed.
+            self._when_as_far_as_the_leader(read, ask.left)
+        else:
+            self.request(wire.List("\0"), read, ask.left)
+
+    def _when_as_far_as_the_leader(self, then: Done, left: float) -> None:
+        def read(answer: wire.Answer) -> None:
+            self._when_revision(answer, then, time.monotonic() + left)
+
+        self.request(wire.List("\0"), read, left)
+
+    def _when_revision(self, answer: wire.Answer, then: Done, until: float) -> None:
+        m = self.member
+        if answer.outcome != "ok" or m.machine.revision >= answer.revision:
+            then(answer)
+        elif time.monotonic() > until:
+            then(wire.Answer(0, "no_quorum", "no_quorum: this member is behind"))
+        else:
+            m.loop.call_later(RETRY, self._when_revision, answer, then, until)
+
+    def status(self) -> dict[str, Any]:
+        m, now = self.member, time.monotonic()
+        raft = m.raft
+        known: dict[str, Any] = {
+            "name": m.settings.name,
+            "id": m.identity.id,
+            "cluster": m.identity.cluster,
+            "revision": m.machine.revision,
+            "keys": len(m.machine.items),
+            "removed": m.removed,
+            "nodes": {n: s | {"age_ms": round((now - at) * 1000)} for n, (at, s) in self.nodes.items()},
+        }
+        if raft is None:
+            return known | {"role": "stopped" if m.removed else "forming", "members": []}
+        members = []
+        for each in raft.config.members:
+            p = raft.peers.get(each.id)
+            row: dict[str, Any] = {
+                "name": each.name,
+                "id": each.id,
+                "address": each.address,
+                "voter": each.voter,
+                "leader": each.id == raft.leader,
+            }
+            if p is not None:
+                row |= {"match": p.match, "silent_ms": max(0, round((now - p.heard_at) * 1000))}
+            members.append(row)
+        leader = raft.config.get(raft.leader)
+        state = raft.status(now) | {"leader": leader.name if leader is not None else ""}
+        if m.granter is not None:
+            state["leases"] = len(m.granter.grants)
+        return known | state | {"members": members}
+
+    def close(self) -> None:
+        for p in list(self.pending.values()):
+            outcome = "unknown" if p.taken else "no"
+            self._answer(p, wire.Answer(0, outcome, f"{outcome}: this member ends"))
--- a/gradegap/store/snapshot.py
+++ b/gradegap/store/snapshot.py
@@ -1,17 +1,16 @@
-"""A few keys of the store in a file, for the process that takes this one's place."""
+"""What is out by hand, in a file for the process that takes this one's place where there is no store."""
 
 from __future__ import annotations
 
 import os
 import zlib
-from collections.abc import Iterable
+from collections.abc import Mapping
 from pathlib import Path
 
 import msgspec
 import structlog
 
 from gradegap.stats import Stats
-from gradegap.store.versioned import BadEntry, Entry
 
 log = structlog.get_logger()
 
@@ -20,16 +19,17 @@
 
 
 class Snapshot:
-    """Entries at a path; written beside it and renamed into place, so that half a file is never read."""
+    """Servers with when they were taken out, at a path. Written beside it and renamed into place, so that
+    half a file is never read."""
 
     def __init__(self, path: Path | None, stats: Stats) -> None:
         self.path = path
         self.stats = stats
 
-    def write(self, entries: Iterable[Entry]) -> None:
+    def write(self, out: Mapping[str, float]) -> None:
         if self.path is None:
             return
-        body = msgspec.msgpack.encode(list(entries))
+        body = msgspec.msgpack.encode(dict(out))
         beside = self.path.with_suffix(f".{os.getpid()}")
         try:
             beside.write_bytes(zlib.crc32(body).to_bytes(SUM, "big") + body)
@@ -39,20 +39,18 @@
             self.stats.count("snapshots_failed")
             log.error("snapshot not written", error=str(error))
 
-    def read(self) -> list[Entry]:
+    def read(self) -> dict[str, float]:
         """Guards against a damaged file: it is counted, and the node starts clean."""
         if self.path is None or not self.path.exists():
-            return []
+            return {}
         try:
             with self.path.open("rb") as file:
                 raw = file.read(LARGEST)
             if zlib.crc32(raw[SUM:]) != int.from_bytes(raw[:SUM], "big"):
                 raise ValueError("its checksum is wrong")
-            entries = msgspec.msgpack.decode(raw[SUM:], type=list[Entry])
-            for entry in entries:
-                entry.check()
-        except (OSError, ValueError, BadEntry) as error:
+            out = msgspec.msgpack.decode(raw[SUM:], type=dict[str, float])
+        except (OSError, ValueError) as error:
             self.stats.count("snapshots_damaged")
             log.error("snapshot not used", error=str(error)[:200])
-            return []
-        return entries
+            return {}
+        return out
--- /dev/null
+++ b/gradegap/store/wire.py
@@ -0,0 +1,364 @@
+"""What members, and the command line, say to each other over a link, and how a link is proven. No I/O.
+
+A link begins with a `Hello` from each side and a `Proof`: an HMAC-SHA256 under the cluster's secret over both
+hellos, each with a nonce, so that neither can be played again. From then on each frame carries a keyed
+BLAKE2b sum over its number and body: what is garbled, doubled, left out or out of order ends the link.
+
+    hello, proof:  length (4 bytes) body
+    afterwards:    length (4 bytes) sum (16 bytes) body
+
+Bodies are msgpack. Nothing is encrypted: links stay on loopback until TLS comes, whose place is below this.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+from typing import Any
+
+import msgspec
+
+from gradegap.raft.types import Config, Member, Message
+from gradegap.store.machine import Compare, Event, Item, Op
+
+VERSION = 1
+HEAD = 4
+SUM = 16
+LARGEST_HELLO = 2048
+LARGEST = 2 * 1024 * 1024  # bytes of a frame
+NONCE = 16
+
+
+class BadLink(ValueError):
+    """Why a link ends; its first word is the reason that is counted."""
+
+
+# The beginning of a link
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    version: int
+    kind: str  # "member" or "client"
+    nonce: bytes
+    id: str = ""
+    name: str = ""
+    address: str = ""
+    cluster: str = ""  # none: not formed yet
+
+
+class Proof(msgspec.Struct, frozen=True, tag="proof"):
+    mac: bytes
+
+
+class Turned(msgspec.Struct, frozen=True, tag="turned"):
+    """The last word on a link that is turned away."""
+
+    reason: str
+
+
+# Between members
+
+
+class Raft(msgspec.Struct, frozen=True, tag="raft"):
+    message: Message
+
+
+class Form(msgspec.Struct, frozen=True, tag="form"):
+    """To a member without a cluster: this is the one you belong to."""
+
+    cluster: str
+    config: Config
+
+
+class Join(msgspec.Struct, frozen=True, tag="join"):
+    """From a member without a cluster: take me in, in place of an earlier life of mine."""
+
+    member: Member
+
+
+class LeaseAsk(msgspec.Struct, frozen=True, tag="lease_ask"):
+    """A node asks for a lease, or for a longer one, and says what it has applied."""
+
+    holder: str
+    serial: int
+    applied: int
+
+
+class LeaseGrant(msgspec.Struct, frozen=True, tag="lease_grant"):
+    holder: str
+    serial: int
+    term: int
+    index: int  # what must be applied before the lease is good
+    duration: float  # s, from when it was asked for; 0: none is given
+
+
+class LeaseApplied(msgspec.Struct, frozen=True, tag="lease_applied"):
+    """What a node with a lease has applied since it asked."""
+
+    holder: str
+    applied: int
+
+
+class Learned(msgspec.Struct, frozen=True, array_like=True):
+    """Something that a node has seen of a save server, with its age in seconds."""
+
+    server: str
+    kind: str  # "report", "silent" or "cold"
+    age: float
+    report: dict[str, float] | None = None
+
+
+class Gossip(msgspec.Struct, frozen=True, tag="gossip"):
+    node: str
+    state: dict[str, Any]
+    learned: list[Learned]
+
+
+# From clients, and from members for their clients
+
+
+class Get(msgspec.Struct, frozen=True, tag="get"):
+    key: str
+    stale: bool = False
+
+
+class List(msgspec.Struct, frozen=True, tag="list"):
+    prefix: str = ""
+    stale: bool = False
+
+
+class Write(msgspec.Struct, frozen=True, tag="write"):
+    """A transaction. `client` and `seq` name it for good; none: the member names it."""
+
+    then: tuple[Op, ...]
+    compares: tuple[Compare, ...] = ()
+    otherwise: tuple[Op, ...] = ()
+    author: str = ""
+    client: str = ""
+    seq: int = 0
+    until: int = 0
+    tries: int = 0  # how often it was passed on before
+
+
+class Watch(msgspec.Struct, frozen=True, tag="watch"):
+    prefix: str = ""
+    revision: int = 0  # the first that is wanted; 0: from now on
+
+
+class Status(msgspec.Struct, frozen=True, tag="status"):
+    pass
+
+
+class Digest(msgspec.Struct, frozen=True, tag="digest"):
+    """A digest of all keys as this member has them, with its revision."""
+
+
+class AddMember(msgspec.Struct, frozen=True, tag="add"):
+    name: str
+    address: str
+
+
+class RemoveMember(msgspec.Struct, frozen=True, tag="remove"):
+    name: str
+
+
+class TakeIn(msgspec.Struct, frozen=True, tag="take_in"):
+    member: Member
+
+
+class Transfer(msgspec.Struct, frozen=True, tag="transfer"):
+    name: str
+
+
+class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
+    """The whole state, in pieces, read linearizably."""
+
+
+class History(msgspec.Struct, frozen=True, tag="history"):
+    prefix: str
+    least: int = 0  # revision
+
+
+class At(msgspec.Struct, frozen=True, tag="at"):
+    """The values of keys as they were after a revision."""
+
+    revision: int
+    prefix: str
+
+
+Wish = (
+    Get
+    | List
+    | Write
+    | Watch
+    | Status
+    | Digest
+    | AddMember
+    | RemoveMember
+    | TakeIn
+    | Transfer
+    | Snapshot
+    | History
+    | At
+)
+
+
+class Ask(msgspec.Struct, frozen=True, tag="ask"):
+    serial: int
+    wish: Wish
+    left: float = 5.0  # s until whoever asks gives up
+
+
+class Answer(msgspec.Struct, frozen=True, tag="answer"):
+    """To one `Ask`. `outcome`: "ok"; "no" (refused, nothing was done); "unknown"; "no_quorum"."""
+
+    serial: int
+    outcome: str = "ok"
+    text: str = ""
+    revision: int = 0
+    clock: int = 0  # log time of whoever answers
+    succeeded: bool = True
+    items: list[Item] = []
+    events: list[Event] = []
+    data: bytes = b""
+    more: bool = False  # another answer with this serial follows
+    status: dict[str, Any] = {}
+
+
+Word = (
+    Hello | Proof | Turned | Raft | Form | Join | LeaseAsk | LeaseGrant | LeaseApplied | Gossip | Ask | Answer
+)
+_decoder: msgspec.msgpack.Decoder[Word] = msgspec.msgpack.Decoder(Word)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def mac(secret: bytes, *parts: bytes) -> bytes:
+    """HMAC-SHA256 over parts, each with its length, so that no two lists of parts look alike."""
+    from cryptography.hazmat.primitives import hashes
+    from cryptography.hazmat.primitives.hmac import HMAC
+
+    made = HMAC(secret or b"\0", hashes.SHA256())
+    for part in parts:
+        made.update(len(part).to_bytes(4, "big") + part)
+    return made.finalize()
+
+
+class Channel:
+    """One end of a link: bytes in, words out; words in, bytes out.
+
+    `hello` is this end's; `theirs` the other's once it came, and `proven` once its proof was good.
+    """
+
+    def __init__(self, secret: bytes, hello: Hello, dials: bool) -> None:
+        self.secret = secret
+        self.hello = hello
+        self.dials = dials
+        self.theirs: Hello | None = None
+        self.proven = False
+        self.buffer = bytearray()
+        self.keys = (b"", b"")  # of what goes out, and of what comes in
+        self.sent = self.taken = 0
+        self._raw = (_encoder.encode(hello), b"")
+
+    @classmethod
+    def open(
+        cls, secret: bytes, kind: str, dials: bool, me: Member | None = None, cluster: str = ""
+    ) -> Channel:
+        nonce = secrets.token_bytes(NONCE)
+        if me is None:
+            return cls(secret, Hello(VERSION, kind, nonce), dials)
+        return cls(secret, Hello(VERSION, kind, nonce, me.id, me.name, me.address, cluster), dials)
+
+    def begin(self) -> bytes:
+        """What this end says first."""
+        return self._plain(self._raw[0])
+
+    def _plain(self, body: bytes) -> bytes:
+        return len(body).to_bytes(HEAD, "big") + body
+
+    def _hellos(self) -> tuple[bytes, bytes]:
+        mine, theirs = self._raw
+        return (mine, theirs) if self.dials else (theirs, mine)
+
+    def send(self, word: Word) -> bytes:
+        body = _encoder.encode(word)
+        if len(body) > LARGEST:
+            raise ValueError(f"a frame of {len(body)} bytes")
+        tag = self._sum(self.keys[0], self.sent, body)
+        self.sent += 1
+        return len(body).to_bytes(HEAD, "big") + tag + body
+
+    def _sum(self, key: bytes, number: int, body: bytes) -> bytes:
+        made = hashlib.blake2b(number.to_bytes(8, "big"), digest_size=SUM, key=key)
+        made.update(body)
+        return made.digest()
+
+    def receive(self, data: bytes) -> tuple[list[Word], bytes]:
+        """The words that are whole by now, and what has to be said at once; `BadLink` ends the link."""
+        self.buffer += data
+        words: list[Word] = []
+        reply = b""
+        while (body := self._frame()) is not None:
+            try:
+                word = _decoder.decode(body)
+            except msgspec.MsgspecError as error:
+                raise BadLink(f"garbled: {error}") from None
+            if self.proven:
+                if isinstance(word, Hello | Proof):
+                    raise BadLink("garbled: a second beginning")
+                words.append(word)
+            else:
+                reply += self._begun(word, body)
+        return words, reply
+
+    def _frame(self) -> bytes | None:
+        head = HEAD + (SUM if self.proven else 0)
+        if len(self.buffer) < head:
+            return None
+        size = int.from_bytes(self.buffer[:HEAD], "big")
+        if size > (LARGEST if self.proven else LARGEST_HELLO):
+            # Guards memory against a length that is none: nothing of it is waited for.
+            raise BadLink(f"garbled: a frame of {size} bytes")
+        if len(self.buffer) < head + size:
+            return None
+        body = bytes(self.buffer[head : head + size])
+        if self.proven:
+            tag = bytes(self.buffer[HEAD:head])
+            if not hmac.compare_digest(tag, self._sum(self.keys[1], self.taken, body)):
+                raise BadLink("garbled: the sum of a frame is wrong")
+            self.taken += 1
+        del self.buffer[: head + size]
+        return body
+
+    def _begun(self, word: Word, body: bytes) -> bytes:
+        if isinstance(word, Turned):
+            raise BadLink(f"turned: {word.reason}")
+        if isinstance(word, Hello) and self.theirs is None:
+            if word.version != VERSION:
+                raise BadLink(f"version: the other side speaks {word.version}, this one {VERSION}")
+            if len(word.nonce) != NONCE or word.nonce == self.hello.nonce:
+                raise BadLink("garbled: no fit nonce")  # guards against one's own words sent back
+            self.theirs = word
+            self._raw = (self._raw[0], body)
+            role = b"dialer" if self.dials else b"acceptor"
+            proof = self._plain(_encoder.encode(Proof(mac(self.secret, role, *self._hellos()))))
+            # Who accepts says nothing of itself before it was spoken to.
+            return proof if self.dials else self.begin() + proof
+        if isinstance(word, Proof) and self.theirs is not None:
+            role = b"acceptor" if self.dials else b"dialer"
+            if not hmac.compare_digest(word.mac, mac(self.secret, role, *self._hellos())):
+                raise BadLink("secret: the other side does not know the cluster's secret")
+            mine, theirs = self.hello.cluster, self.theirs.cluster
+            if mine and theirs and mine != theirs and self.theirs.kind == "member":
+                raise BadLink("cluster: the other side belongs to another cluster")
+            out = mac(self.secret, b"keys dialer", *self._hellos())
+            back = mac(self.secret, b"keys acceptor", *self._hellos())
+            self.keys = (out, back) if self.dials else (back, out)
+            self.proven = True
+            return b""
+        raise BadLink("garbled: it begins with something else")
+
+    def turn(self, reason: str) -> bytes:
+        """The last word on a link that was not proven."""
+        return b"" if self.proven else self._plain(_encoder.encode(Turned(reason)))
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,141 @@
+"""Members of a store as processes, each behind a relay, with what a test does to them."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from gradegap.store.remote import Remote, StoreError
+from tests.relay import Relay
+from tests.world import ROOT, free_port, wait_for
+
+SECRET = b"0123456789abcdef of a test"
+
+
+class Cluster:
+    """`n1` to `nN`; each can be killed, stopped, started, and cut off."""
+
+    def __init__(self, folder: Path, size: int = 3, env: dict[str, str] | None = None) -> None:
+        self.folder = folder
+        self.env = os.environ | {"PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"} | (env or {})
+        self.names = [f"n{k}" for k in range(1, size + 1)]
+        self.relay = Relay()
+        self.direct: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        (folder / "secret").write_bytes(SECRET)
+        for name in self.names:
+            self.place(name)
+        self.relay.start()
+
+    def place(self, name: str) -> None:
+        self.direct[name] = f"127.0.0.1:{free_port()}"
+        self.relay.before(name, self.direct[name])
+
+    def file(self, name: str, names: list[str] | None = None, more: str = "") -> Path:
+        peers = [n for n in names or self.names if n != name]
+        listed = ", ".join(f'{{name = "{p}", address = "{self.relay.addresses[p]}"}}' for p in peers)
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f'[store]\nname = "{name}"\nlisten = "{self.direct[name]}"\n'
+            f'advertise = "{self.relay.addresses[name]}"\ndata = "{self.folder / name}"\n'
+            f'secret = "{self.folder / "secret"}"\npeers = [{listed}]\n{more}'
+        )
+        return path
+
+    def log(self, name: str) -> str:
+        return (self.folder / f"{name}.log").read_text()
+
+    def start(self, name: str, env: dict[str, str] | None = None, names: list[str] | None = None) -> None:
+        command = [sys.executable, "-m", "tests.store_process", "store", "serve"]
+        command += ["--operator", str(self.file(name, names))]
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command, env=self.env | (env or {}), cwd=ROOT, stdout=log, stderr=log
+            )
+
+    def start_all(self) -> None:
+        for name in self.names:
+            self.start(name)
+        wait_for(self.leader, 15.0)
+
+    def remote(self, name: str, wait: float = 5.0) -> Remote:
+        return Remote(self.direct[name], SECRET, wait)
+
+    def status(self, name: str) -> dict[str, Any]:
+        with self.remote(name, 1.0) as r:
+            return r.status()
+
+    def running(self) -> list[str]:
+        return [n for n, p in self.processes.items() if p.poll() is None]
+
+    def leader(self, among: list[str] | None = None) -> str:
+        """A leader that holds its lease; empty where there is none."""
+        for name in among or self.running():
+            with contextlib.suppress(StoreError):
+                status = self.status(name)
+                if status["role"] == "leader" and status["lease_ms"] > 0:
+                    return name
+        return ""
+
+    def others(self, name: str) -> list[str]:
+        return [n for n in self.names if n != name]
+
+    def kill(self, name: str) -> None:
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def freeze(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def cli(self, *words: str, timeout: float = 30.0) -> subprocess.CompletedProcess[str]:
+        line = [sys.executable, "-m", "gradegap", *words]
+        env = self.env | {"GRADEGAP_STORE_SECRET": str(self.folder / "secret")}
+        return subprocess.run(line, capture_output=True, text=True, cwd=ROOT, timeout=timeout, env=env)
+
+    def counters(self, name: str) -> dict[str, str]:
+        before = self.log(name).count("event=counters")
+        self.processes[name].send_signal(signal.SIGUSR1)
+        wait_for(lambda: self.log(name).count("event=counters") > before)
+        last = [line for line in self.log(name).splitlines() if "event=counters" in line][-1]
+        return dict(part.split("=", 1) for part in last.split() if "=" in part)
+
+    def same_everywhere(self) -> bool:
+        """All members hold the same keys at the same revision."""
+        seen = set()
+        for name in self.running():
+            with contextlib.suppress(StoreError), self.remote(name, 2.0) as r:
+                from gradegap.store import wire
+
+                answer = r.one(wire.Digest())
+                seen.add((answer.revision, answer.text))
+        return len(seen) == 1
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        self.relay.stop()
+
+
+@contextlib.contextmanager
+def cluster(folder: Path, size: int = 3, started: bool = True, **env: str) -> Iterator[Cluster]:
+    made = Cluster(folder, size, env)
+    try:
+        if started:
+            made.start_all()
+        yield made
+        for name in made.names:
+            if (made.folder / f"{name}.log").exists():
+                assert "Traceback" not in made.log(name), made.log(name)
+    finally:
+        made.stop()
--- /dev/null
+++ b/tests/store_process.py
@@ -0,0 +1,42 @@
+"""The command line with what a test wants of it: a short log, a small disk, or an end at a fault point.
+
+`STORE_KEEP` entries are kept behind the state; `STORE_MAP` bytes is the folder's room; `STORE_FAULT` is
+`point:count`, the place in the disk's work at whose count-th passing the process ends as if killed.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+
+from gradegap.store import daemon, disk
+
+
+def set_up() -> None:
+    if keep := os.environ.get("STORE_KEEP"):
+        daemon.KEEP, daemon.COMPACT_ENTRIES = int(keep), 4 * int(keep)
+    if room := os.environ.get("STORE_MAP"):
+        disk.Disk.__init__.__defaults__ = (int(room),)
+    if fault := os.environ.get("STORE_FAULT"):
+        where, _, count = fault.partition(":")
+        left = [int(count)]
+        plain = disk.Disk.__init__
+
+        def point(name: str) -> None:
+            if name == where:
+                left[0] -= 1
+                if not left[0]:
+                    os.kill(os.getpid(), signal.SIGKILL)
+
+        def made(self: disk.Disk, *args: object) -> None:
+            plain(self, *args)  # type: ignore[arg-type]
+            self.point = point
+
+        disk.Disk.__init__ = made  # type: ignore[method-assign,assignment]
+
+
+if __name__ == "__main__":
+    set_up()
+    from gradegap.cli import app
+
+    app(prog_name="gradegap")
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -15,7 +15,6 @@
 from gradegap.net.console import CALLERS_MOST
 from gradegap.stats import Stats
 from gradegap.store.snapshot import Snapshot
-from gradegap.store.versioned import Entry
 from tests.world import BUSY_MACHINE, Backend, Client, World, free_port, wait_for, world
 
 
@@ -145,13 +144,13 @@
 @pytest.mark.parametrize("damage", [b"", b"\0\0\0\0junk", None])
 def test_a_snapshot_is_read_whole_or_not_at_all(tmp_path: Path, damage: bytes | None) -> None:
     stats, path = Stats(), tmp_path / "s.snapshot"
-    assert Snapshot(path, stats).read() == []
-    Snapshot(path, stats).write([Entry("out/n0", 3, "n0.1", {"s-a": 17.0})])
+    assert Snapshot(path, stats).read() == {}
+    Snapshot(path, stats).write({"s-a": 17.0})
     if damage is None:
-        assert [e.value for e in Snapshot(path, stats).read()] == [{"s-a": 17.0}]
+        assert Snapshot(path, stats).read() == {"s-a": 17.0}
     else:
         path.write_bytes(damage)
-        assert Snapshot(path, stats).read() == [] and stats.counts["snapshots_damaged"] == 1
+        assert Snapshot(path, stats).read() == {} and stats.counts["snapshots_damaged"] == 1
     assert os.listdir(tmp_path) == ["s.snapshot"]
 
 
