--- a/gradegap/store/daemon.py
+++ b/gradegap/store/daemon.py
@@ -257,9 +257,9 @@
         else:
             self.machine.skip(entry.index)
             result = Result(self.machine.revision)
+        self.service.applied(entry, result)
         if entry.kind is Kind.CONFIG:
             self._config_applied()
-        self.service.applied(entry, result)
 
     def _applied(self) -> None:
         now = time.monotonic()
--- a/gradegap/store/service.py
+++ b/gradegap/store/service.py
@@ -201,9 +201,12 @@
                     found = raft.config.named(w.name)
                     if found is None:
                         raise Refused(f"no_such_member: {w.name}")
-                    raft.transfer(now, found.id)
-                    p.waits_for = "transfer"
-                    m._settle()
+                    if found.id == raft.me:
+                        self._answer(p, wire.Answer(0))  # it was asked before, and has taken over
+                    else:
+                        p.waits_for = "transfer"
+                        raft.transfer(now, found.id)
+                        m._settle()
                 case _:
                     self.reading[p.serial] = p
                     p.waits_for = "read"
--- a/gradegap/store/wire.py
+++ b/gradegap/store/wire.py
@@ -341,10 +341,9 @@
                 raise BadLink("garbled: no fit nonce")  # guards against one's own words sent back
             self.theirs = word
             self._raw = (self._raw[0], body)
-            role = b"dialer" if self.dials else b"acceptor"
-            proof = self._plain(_encoder.encode(Proof(mac(self.secret, role, *self._hellos()))))
-            # Who accepts says nothing of itself before it was spoken to.
-            return proof if self.dials else self.begin() + proof
+            proof = self._plain(_encoder.encode(Proof(mac(self.secret, b"dialer", *self._hellos()))))
+            # Who accepts proves nothing before it was proven something: a stray learns nothing, and is seen.
+            return proof if self.dials else self.begin()
         if isinstance(word, Proof) and self.theirs is not None:
             role = b"acceptor" if self.dials else b"dialer"
             if not hmac.compare_digest(word.mac, mac(self.secret, role, *self._hellos())):
@@ -356,7 +355,8 @@
             back = mac(self.secret, b"keys acceptor", *self._hellos())
             self.keys = (out, back) if self.dials else (back, out)
             self.proven = True
-            return b""
+            mine_proof = Proof(mac(self.secret, b"acceptor", *self._hellos()))
+            return b"" if self.dials else self._plain(_encoder.encode(mine_proof))
         raise BadLink("garbled: it begins with something else")
 
     def turn(self, reason: str) -> bytes:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from gradegap.store import wire
 from gradegap.store.remote import Remote, StoreError
 from tests.relay import Relay
 from tests.world import ROOT, free_port, wait_for
@@ -112,11 +113,14 @@
         """All members hold the same keys at the same revision."""
         seen = set()
         for name in self.running():
-            with contextlib.suppress(StoreError), self.remote(name, 2.0) as r:
-                from gradegap.store import wire
-
-                answer = r.one(wire.Digest())
-                seen.add((answer.revision, answer.text))
+            try:
+                with self.remote(name, 2.0) as r:
+                    answer = r.one(wire.Digest())
+            except StoreError:
+                return False
+            seen.add((answer.revision, answer.text))
+            if len(seen) > 1:
+                return False
         return len(seen) == 1
 
     def stop(self) -> None:
