--- a/gradegap/store/attached.py
+++ b/gradegap/store/attached.py
@@ -25,13 +25,14 @@
 from gradegap.store.daemon import Daemon
 from gradegap.store.disk import BadFolder
 from gradegap.store.gossip import PERIOD, Learner
+from gradegap.store.links import Link
 from gradegap.store.machine import Event, Op
 
 log = structlog.get_logger()
 
 OUT = "out/"
 CONFIG = "config/"
-CALL_WAIT = 2.5  # s that a call at the console may take: the longest that leases of others are waited for
+CALL_WAIT = 2.2  # s that a call at the console may take; leases of others are waited for for half as long
 
 
 class Attached:
@@ -54,12 +55,13 @@
         self.daemon.want_lease = True
         self.daemon.lease_changed = self._look
         self.daemon.gossiped = self._gossiped
+        self.daemon.met = self._met
         self.daemon.machine.watchers.append(self._events)
         self.learner = Learner(settings.name, core, stats)
         self.was_fresh: bool | None = None
         self.synced = False
         self.timer: asyncio.TimerHandle | None = None
-        stats.gauge("store_fresh", self.fresh)
+        stats.gauge("store_fresh", lambda: int(self.fresh()))
 
     async def start(self) -> None:
         await self.daemon.start()
@@ -152,6 +154,10 @@
             self.daemon.to_all(self.learner.tell(self.state()))
             self.timer = self.loop.call_later(PERIOD, self._gossip)
 
+    def _met(self, link: Link) -> None:
+        """A sibling that starts anew is told at once: it is about to serve."""
+        link.send(self.learner.tell(self.state()))
+
     def _gossiped(self, gossip: wire.Gossip) -> None:
         self.learner.hear(gossip)
         self.daemon.service.nodes[gossip.node] = (time.monotonic(), gossip.state)
--- a/gradegap/store/daemon.py
+++ b/gradegap/store/daemon.py
@@ -70,7 +70,7 @@
         self.granter: Granter | None = None
         self.lease_changed: Callable[[], None] = lambda: None
         self.gossiped: Callable[[wire.Gossip], None] = lambda gossip: None
-        self.applied_hooks: list[Callable[[], None]] = []
+        self.met: Callable[[Link], None] = lambda link: None
         self.thread = ThreadPoolExecutor(1, "store-disk")
         self.outs: list[Output] = []
         self.writing = False
@@ -266,8 +266,6 @@
         index = self.machine.index
         self.holder.applied(index)
         self.service.caught_up(index)
-        for hook in self.applied_hooks:
-            hook()
         if self.want_lease and self.holder.until > now:
             raft = self.raft
             if raft is not None and raft.leads and self.granter is not None:
@@ -463,6 +461,7 @@
             link.send(wire.Form(self.identity.cluster, self.raft.config))
         link.closing.append(lambda: self.service.link_lost(theirs.id))
         self.service.leader_changed()
+        self.met(link)
 
     def _ask_to_join(self) -> None:
         for dial in self.net.dials.values():
--- a/gradegap/store/gossip.py
+++ b/gradegap/store/gossip.py
@@ -38,6 +38,7 @@
     def hear(self, gossip: Gossip) -> None:
         if gossip.node == self.node:
             return
+        self.stats.count("gossip_heard")
         now = self.core.now()
         for learned in gossip.learned[:MOST]:
             if not self._fit(learned) or learned.report is None:
