--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -306,7 +306,9 @@
 
         try:
             secret, place = read_secret(settings), folder(settings)
-            made = Attached(settings, secret, place, self.core, self.live, self.stats, self.loop, self._state)
+            told = lambda: self.director.told  # noqa: E731
+            parts = self.core, self.live, self.stats, self.loop, self._state, told
+            made = Attached(settings, secret, place, *parts)
         except (BadFolder, BadOperatorFile) as error:
             raise BadConfig(str(error)) from None
         try:
--- a/gradegap/store/attached.py
+++ b/gradegap/store/attached.py
@@ -48,6 +48,7 @@
         stats: Stats,
         loop: asyncio.AbstractEventLoop,
         state: Callable[[], dict[str, object]],
+        told: Callable[[], bool],
     ) -> None:
         self.settings, self.core, self.live, self.stats, self.loop = settings, core, live, stats, loop
         self.state = state
@@ -57,7 +58,7 @@
         self.daemon.gossiped = self._gossiped
         self.daemon.met = self._met
         self.daemon.machine.watchers.append(self._events)
-        self.learner = Learner(settings.name, core, stats)
+        self.learner = Learner(settings.name, core, stats, told)
         self.was_fresh: bool | None = None
         self.synced = False
         self.timer: asyncio.TimerHandle | None = None
--- a/gradegap/store/gossip.py
+++ b/gradegap/store/gossip.py
@@ -1,19 +1,23 @@
 """What nodes see of save servers, passed between them: bounded, with its age, never through the log.
 
-A node that starts anew knows no loads. What its siblings tell it reaches the module as reports do, at the
-time they were made, so the module weighs them by their age as it does its own.
+A node that starts anew knows no loads, and a list that may be out of date. What its siblings tell it reaches
+the module as its own events: reports at the time they were made, so that they are weighed by their age, and
+who drains or has started anew as changes of the list, until discovery itself has told one.
 """
 
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
+from gradegap import interface as api
 from gradegap.core import Core
 from gradegap.stats import Stats
 from gradegap.store.wire import Gossip, Learned
 
 PERIOD = 1.0  # s between two words
 OLDEST = 5.0  # s; older reports say nothing any more
+PHASES = {int(p) for p in api.Phase}
 MOST = 2000  # of what is told at once
 MOST_FIELDS = 16  # of a report
 NEWER = 0.25  # s by which a report must be newer than one's own to be taken
@@ -22,8 +26,9 @@
 class Learner:
     """One node's part: what it tells, and what it takes of what it is told."""
 
-    def __init__(self, node: str, core: Core, stats: Stats) -> None:
+    def __init__(self, node: str, core: Core, stats: Stats, told: Callable[[], bool]) -> None:
         self.node, self.core, self.stats = node, core, stats
+        self.told = told  # whether discovery has told this node a list
 
     def tell(self, state: dict[str, object]) -> Gossip:
         """Only what this node saw itself: what it was told is not told on, so nothing goes in circles."""
@@ -33,6 +38,12 @@
             for b in self.core.backends.values()
             if b.report is not None and not b.told_by_peer and now - b.report_at < OLDEST
         ]
+        if self.told():
+            seen += [
+                Learned(b.id, "listed", 0.0, None, int(b.told.phase), b.told.started_at)
+                for b in self.core.backends.values()
+                if b.told is not None
+            ]
         return Gossip(self.node, state, seen[:MOST])
 
     def hear(self, gossip: Gossip) -> None:
@@ -40,25 +51,39 @@
             return
         self.stats.count("gossip_heard")
         now = self.core.now()
+        changed: list[tuple[api.ServerEntry, str]] = []
         for learned in gossip.learned[:MOST]:
-            if not self._fit(learned) or learned.report is None:
+            if not self._fit(learned):
                 self.stats.count("gossip_unfit")
                 continue
             b = self.core.backends.get(learned.server)
             if b is None or b.told is None:
                 self.stats.count("gossip_unknown_server")
+            elif learned.report is None:
+                if not self.told() and (learned.phase, learned.started_at) != (
+                    b.told.phase,
+                    b.told.started_at,
+                ):
+                    entry = b.told._replace(phase=api.Phase(learned.phase), started_at=learned.started_at)
+                    changed.append((entry, ""))
             elif learned.age > OLDEST or now - learned.age < b.report_at + NEWER:
                 self.stats.count("gossip_old")
             else:
                 self.stats.count("gossip_taken")
                 b.told_by_peer = True
                 self.core.recall(now - learned.age, b.id, learned.report)
+        if changed:
+            self.stats.count("gossip_listed", len(changed))
+            self.core.listing(api.ListKind.DELTA, changed)
 
     def _fit(self, learned: Learned) -> bool:
         """Guards the module against figures that no probe could have brought."""
         report = learned.report or {}
+        if learned.kind == "listed":
+            return learned.report is None and learned.phase in PHASES and 0 <= learned.started_at < 1e11
         return (
             learned.kind == "report"
+            and learned.report is not None
             and 0.0 <= learned.age < 3600.0
             and len(report) <= MOST_FIELDS
             and all(math.isfinite(v) and v >= 0.0 for v in report.values())
--- a/gradegap/store/wire.py
+++ b/gradegap/store/wire.py
@@ -104,9 +104,11 @@
     """Something that a node has seen of a save server, with its age in seconds."""
 
     server: str
-    kind: str  # "report", "silent" or "cold"
+    kind: str  # "report", or "listed": what its list says of it
     age: float
     report: dict[str, float] | None = None
+    phase: int = 0
+    started_at: float = 0.0  # Unix time, s
 
 
 class Gossip(msgspec.Struct, frozen=True, tag="gossip"):
--- a/tests/store_process.py
+++ b/tests/store_process.py
@@ -2,12 +2,15 @@
 
 `STORE_KEEP` entries are kept behind the state; `STORE_MAP` bytes is the folder's room; `STORE_FAULT` is
 `point:count`, the place in the disk's work at whose count-th passing the process ends as if killed.
+`STORE_WALL` seconds are what the wall clock is wrong by; it jumps back and forth by as much again.
 """
 
 from __future__ import annotations
 
+import itertools
 import os
 import signal
+import time
 
 from gradegap.store import daemon, disk
 
@@ -17,6 +20,10 @@
         daemon.KEEP, daemon.COMPACT_ENTRIES = int(keep), 4 * int(keep)
     if room := os.environ.get("STORE_MAP"):
         disk.Disk.__init__.__defaults__ = (int(room),)
+    if wrong := os.environ.get("STORE_WALL"):
+        plain_ns, jumps = time.time_ns, itertools.cycle([0, int(wrong), -int(wrong)])
+        time.time_ns = lambda: plain_ns() + (int(wrong) + next(jumps)) * 1_000_000_000
+        time.time = lambda: time.time_ns() / 1e9
     if fault := os.environ.get("STORE_FAULT"):
         where, _, count = fault.partition(":")
         left = [int(count)]
