--- a/gradegap/cli.py
+++ b/gradegap/cli.py
@@ -6,6 +6,7 @@
 
 from gradegap.app import configure_log, load_both
 from gradegap.app import serve as run_serve
+from gradegap.resume import commands as resume_commands
 from gradegap.store import commands
 
 app = typer.Typer(add_completion=False, help="gradegap places player connections on save servers.")
@@ -13,6 +14,8 @@
 
 app.add_typer(commands.store, name="store")
 app.add_typer(commands.config, name="config")
+app.add_typer(resume_commands.keys, name="keys")
+app.add_typer(resume_commands.token, name="token")
 
 CONFIG = typer.Option(None, help="configuration file, instead of NODE_CONFIG")
 OPERATOR = typer.Option(None, help="operator's file, instead of GRADEGAP_OPERATOR; see deploy/operator.toml")
--- a/gradegap/store/schema.py
+++ b/gradegap/store/schema.py
@@ -42,6 +42,21 @@
     address: Annotated[str, msgspec.Meta(pattern=r":\d+$")]
 
 
+class SealingKey(msgspec.Struct, forbid_unknown_fields=True):
+    """One key of `keys/resume`; see `gradegap.resume.token`."""
+
+    id: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{8}$")]
+    secret: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9+/]{43}=$")]
+    made_ms: int = 0
+    state: Literal["in use", "retired"] = "in use"
+
+
+class SealingKeys(msgspec.Struct, forbid_unknown_fields=True):
+    """`keys/resume`: the ring that seals tokens. `gradegap keys` writes it."""
+
+    keys: Annotated[list[SealingKey], msgspec.Meta(max_length=16)] = []
+
+
 FIELDS = {f.encode_name: f for f in msgspec.structs.fields(Settings)}
 
 
@@ -58,6 +73,8 @@
             return msgspec.convert(value, Out)
         if key.startswith("cluster/invited/"):
             return msgspec.convert(value, Invited)
+        if key == "keys/resume":
+            return msgspec.convert(value, SealingKeys)
     except msgspec.ValidationError as error:
         raise ValueError(f"{key}: {re.sub(r' - at .*', '', str(error))}") from None
     return value
@@ -78,13 +95,13 @@
 
 def json_schema() -> dict[str, Any]:
     """JSON Schema of all keys, for editors and for review."""
-    parts, defs = msgspec.json.schema_components((Settings, Out, Invited), ref_template="#/$defs/{name}")
-    config, out, invited = parts
+    kinds = (Settings, Out, Invited, SealingKeys)
+    (config, out, invited, keys), defs = msgspec.json.schema_components(kinds, ref_template="#/$defs/{name}")
     return {
         "$schema": "https://json-schema.org/draft/2020-12/schema",
         "title": "keys of the store",
         "type": "object",
-        "properties": {"config/": config},
+        "properties": {"config/": config, "keys/resume": keys},
         "patternProperties": {"^out/.+": out, "^cluster/invited/.+": invited},
         "$defs": defs,
     }
--- a/tests/test_store_parts.py
+++ b/tests/test_store_parts.py
@@ -565,6 +565,8 @@
         ("out/s-1", {"when": 5}, False),
         ("cluster/invited/n9", {"address": "nowhere"}, False),
         ("anything/else", [1], True),
+        ("keys/resume", {"keys": []}, True),
+        ("keys/resume", {"keys": [{"id": "0", "secret": "x"}]}, False),
     ],
 )
 def test_values_fit_their_keys(key: str, value: Any, good: bool) -> None:
