A node's part in a resumable session: servers change between two lines, at any byte

The node needs to remember what has no answer, hold a full window back, and change servers without doubling or losing a line.

--- /dev/null
+++ b/gradegap/resume/switch.py
@@ -0,0 +1,166 @@
+"""A node's part in a resumable session: bytes from both sides in, bytes for both sides out. No I/O.
+
+It passes whole lines, remembers what has no answer, and changes from one server to the next between two lines.
+What comes from a server that it has left is not heard any more. Other lines of the protocol (`LOAD`, `BYE`)
+pass as they are.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from gradegap.resume import lines
+from gradegap.resume.lines import LONGEST, Answer, BadLine, NewToken, Over, Request, Seen
+from gradegap.resume.window import NodeWindow
+
+
+class State(enum.Enum):
+    PASSING = "passing"  # both ways
+    HELD = "held"  # a next server is dialed: the client's lines wait, answers still pass
+    OVER = "over"  # nothing passes any more
+
+
+@dataclass(slots=True)
+class Out:
+    """What is to be written, and whether the client may be read on."""
+
+    to_client: bytes = b""
+    to_server: bytes = b""
+    read_client: bool = True
+    over: str = ""  # the reason, where the session has ended by somebody's fault
+
+
+class Passing:
+    """One session, from `UP` on. `seen` and `executed` are where it stood then."""
+
+    def __init__(self, seen: int = 0, executed: int = 0) -> None:
+        self.window = NodeWindow(seen, executed)
+        self.state = State.PASSING
+        self.line = 0  # which server is heard: counted up at each change
+        self.client_part = b""  # of a line whose end has not come
+        self.server_part = b""
+        self.waiting: list[bytes] = []  # whole lines of the client's, while held or while the window is full
+        self.others = 0  # lines that are no part of the extension
+
+    @property
+    def position(self) -> int:
+        """Answers up to here have passed to the client."""
+        return self.window.answered
+
+    def from_client(self, data: bytes) -> Out:
+        if self.state is State.OVER:
+            return Out(read_client=False)
+        whole, self.client_part = self._split(self.client_part + data)
+        if len(self.client_part) >= LONGEST:
+            return self._over(BadLine("long: a line without an end"))
+        self.waiting += whole
+        return self._pass_client()
+
+    def _split(self, data: bytes) -> tuple[list[bytes], bytes]:
+        *whole, part = data.split(b"\n")
+        return [line.removesuffix(b"\r") for line in whole], part
+
+    def _pass_client(self) -> Out:
+        """What may go to the server now: in order, and none that would be more than the window holds."""
+        out = Out()
+        try:
+            while self.waiting and self.state is State.PASSING:
+                raw = self.waiting[0]
+                line = lines.read(raw)
+                if isinstance(line, Request) and line.number > self.window.last and self.window.full:
+                    break
+                self.waiting.pop(0)
+                match line:
+                    case Request():
+                        if self.window.request(line):
+                            out.to_server += lines.write(line)
+                    case Seen(n):
+                        self.window.acknowledge(n)
+                        out.to_server += lines.write(line)
+                    case None:
+                        self.others += 1
+                        out.to_server += raw + b"\r\n"
+                    case _:
+                        raise BadLine("malformed: a line that only a server sends")
+        except BadLine as error:
+            return self._over(error, out)
+        out.read_client = not self.waiting
+        return out
+
+    def from_server(self, data: bytes, line: int) -> Out:
+        """`line` is the server's that it came from, as `line` was when it was made."""
+        if self.state is State.OVER or line != self.line:
+            return Out()  # guards against late words of a server that was left
+        whole, self.server_part = self._split(self.server_part + data)
+        if len(self.server_part) >= LONGEST:
+            return self._over(BadLine("long: a line without an end"))
+        out = Out()
+        try:
+            for raw in whole:
+                match found := lines.read(raw):
+                    case Answer():
+                        if self.window.answer(found):
+                            out.to_client += lines.write(found)
+                    case Over(reason):
+                        out.to_client += lines.write(found)
+                        self.state = State.OVER
+                        out.over = reason
+                        return out
+                    case None:
+                        self.others += 1
+                        out.to_client += raw + b"\r\n"
+                    case _:
+                        raise BadLine("malformed: a line that only a client or node sends")
+        except BadLine as error:
+            return self._over(error, out)
+        more = self._pass_client()
+        out.to_server, out.read_client, out.over = more.to_server, more.read_client, more.over
+        out.to_client += more.to_client
+        return out
+
+    def _over(self, error: BadLine, out: Out | None = None) -> Out:
+        """Whoever broke the rules: the session can't be trusted to be in step any more."""
+        reason = str(error).split(":")[0]
+        self.state = State.OVER
+        out = out or Out()
+        out.to_client += lines.write(Over(reason))
+        out.read_client, out.over = False, reason
+        return out
+
+    # The change of servers
+
+    def hold(self) -> None:
+        """A next server is being dialed: what the client says waits for it. Answers still pass."""
+        if self.state is State.PASSING:
+            self.state = State.HELD
+
+    def release(self) -> Out:
+        """No server took it before its epoch was claimed anywhere: on as before, with the same one."""
+        if self.state is State.HELD:
+            self.state = State.PASSING
+        return self._pass_client()
+
+    def changed(self, executed: int) -> Out:
+        """The next server is up and has proven that requests up to `executed` have run. What the client says
+        goes there from now on; half a line of the old server's is forgotten, as its answer comes whole again.
+        """
+        if self.state is State.OVER:
+            return Out(read_client=False)
+        try:
+            again = self.window.switch(executed)
+        except BadLine as error:
+            return self._over(error)
+        self.line += 1
+        self.server_part = b""
+        self.state = State.PASSING
+        sent = b"".join(lines.write(r) for r in again)
+        if self.window.acked:
+            sent = lines.write(Seen(self.window.acked)) + sent
+        out = self._pass_client()
+        out.to_server = sent + out.to_server
+        return out
+
+    def token(self, token: str) -> bytes:
+        """The line that gives the client a new token, between two of its lines."""
+        return lines.write(NewToken(token))
