Sessions move in place: the next server takes over while the client's connection stays

A move by return still costs the client a new connection. Now the node claims the session's next life, has the module choose as for any req, dials that server, and switches between two lines; what the client says meanwhile waits. The client is told MOVE, with a token for the life that was claimed, where no server takes it in a second. Forty sessions under load through a drain, servers that die before and after a request ran: none returned, each request ran once and got one answer.

--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -90,6 +90,16 @@
         where the session can't go on there."""
         ...
 
+    def move(self, session: ClientSession) -> bool:
+        """Whether it takes a session, that is to leave its server, to another in place."""
+        ...
+
+
+class Moving(Protocol):
+    """A session on its way to another server, its client's connection standing."""
+
+    def stop(self) -> None: ...
+
 
 class ClientSession:
     """One client's connection: its first line, its answer, then lines both ways."""
@@ -116,6 +126,8 @@
         self.offer: object | None = None  # of a resumable session, until a backend has accepted it
         self.passing: Passing | None = None
         self.held = False  # not read on, as its window is full
+        self.mover: Moving | None = None
+        self.ended = False  # the client has: the end of its server is no reason to move it
         self.began = self.piece_at = core.loop.time() - spent
         self.timer: asyncio.TimerHandle | None = core.loop.call_later(
             max(0.0, FIRST_LINE_WAIT - spent), self._late
@@ -127,7 +139,7 @@
         if self.closed:
             return
         if self.passing is not None and self.standing:
-            self._take(self.passing.from_client(data))
+            self.take(self.passing.from_client(data))
             return
         if self.standing and self.pipe is not None:
             # Whole lines only: nothing comes back for a part of one, from a client that writes slowly.
@@ -153,6 +165,7 @@
 
     def eof(self) -> None:
         """The client has ended its side."""
+        self.ended = True
         if self.standing and self.pipe is not None and not self.closed:
             self.pipe.write_eof()
         else:
@@ -163,6 +176,9 @@
         if self.closed:
             return
         pipe, req = self.pipe, self.req
+        if self.mover is not None:
+            self.mover.stop()
+            self.mover = None
         self._shut(Ending.RESET if reset else Ending.SERVED)
         if self.standing and pipe is not None and reset:
             pipe.reset()
@@ -263,7 +279,7 @@
             self.channel.write(b"X %b\r\n" % reason.encode())
             self._shut(Ending.FAILED)
 
-    def _take(self, passed: Passed) -> None:
+    def take(self, passed: Passed) -> None:
         """Write what a resumable session's lines came to."""
         if passed.to_server and self.pipe is not None:
             self.pipe.write(passed.to_server)
@@ -305,7 +321,7 @@
             early = bytes(self.buffer)
             self.buffer.clear()
             if self.passing is not None:
-                self._take(self.passing.from_client(early))
+                self.take(self.passing.from_client(early))
             else:
                 self.pipe.write(early)
         self.channel.resume()
@@ -319,8 +335,10 @@
         self._shut(Ending.FAILED)
 
     def move(self) -> None:
+        if self._moves_in_place():
+            return
         if self.watch.between:
-            self._say_move()
+            self.say_move()
         else:
             # Guards against a MOVE inside a line: the rest of the line goes first.
             self.moving = True
@@ -328,10 +346,19 @@
 
     def end(self) -> None:
         """The backend's side has ended."""
-        if not self.closed:
+        if not self.closed and not self._moves_in_place():
             self._shut(Ending.RESET if self.reset else Ending.SERVED)
 
-    def _say_move(self) -> None:
+    def _moves_in_place(self) -> bool:
+        if self.passing is None or self.resuming is None or self.closed or self.ended:
+            return False
+        return self.mover is not None or self.resuming.move(self)
+
+    def tell(self, line: bytes) -> None:
+        """A line of the node's own to the client, between two others."""
+        self.channel.write(line)
+
+    def say_move(self) -> None:
         self.moving = False
         self.channel.write(b"MOVE\r\n")
         pipe = self.pipe
@@ -370,7 +397,7 @@
         if self.closed:
             return
         if self.passing is not None:
-            self._take(self.passing.from_server(data, self.passing.line))
+            self.take(self.passing.from_server(data, self.passing.line))
             if self.req is not None:
                 self.req.heard(b"\n" in data)
             return
@@ -378,7 +405,7 @@
             end = data.find(b"\n") + 1
             if end:
                 self.channel.write(data[:end])
-                self._say_move()
+                self.say_move()
             else:
                 self.channel.write(data)
             return
--- /dev/null
+++ b/gradegap/resume/move.py
@@ -0,0 +1,130 @@
+"""In place: a standing session goes on at another server, while its client's connection stays.
+
+The module says that it moves, and whereto is a req like any other. Until the next server is up, what the
+client says waits; then what has no answer is sent to it, and the client notices nothing. Where none takes it
+in time the client is told `MOVE`, with a token that is good for its return.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from gradegap.core import Req, Unfit
+from gradegap.net.client_session import ClientSession
+from gradegap.net.framing import Opening
+from gradegap.resume.switch import Passing
+
+if TYPE_CHECKING:
+    from gradegap.resume.part import Offer
+
+log = structlog.get_logger()
+
+WAIT = 1.0  # s that the next server may take; then the client returns by itself
+
+
+class Mover:
+    """Stands where the client session stands, for the next server's fetch, until that is up."""
+
+    def __init__(
+        self,
+        session: ClientSession,
+        opening: Opening,
+        offer: Offer,
+        accepts: Callable[[bytes], int | None],
+        token: Callable[[ClientSession, Offer], str],
+    ) -> None:
+        self.session, self.opening, self.offer = session, opening, offer
+        self.accepts, self.token = accepts, token
+        self.core = session.core
+        self.channel = session.channel
+        self.reset = False
+        self.req: Req | None = None
+        self.over = False
+        self.began = time.monotonic()
+
+    def start(self) -> None:
+        if self.session.closed:
+            self.stop()
+            return
+        try:
+            self.req = self.core.take(self, self.opening.ask)
+        except Unfit as error:
+            log.warning("a session could not be moved in place", reason=str(error))
+            self.give_up("unfit")
+
+    # As a fetch sees it
+
+    def join(self, pipe: Any, first: bytes) -> None:
+        line, _, rest = first.partition(b"\n")
+        executed = self.accepts(line.rstrip(b"\r"))
+        session, passing = self.session, self.session.passing
+        if self.over or session.closed or not isinstance(passing, Passing):
+            self.stop()
+            return
+        if executed is None:
+            self.give_up("server")
+            return
+        self.over = True
+        old, session.pipe = session.pipe, pipe
+        if old is not None:
+            # Guards against its last words being taken for the next one's.
+            old.write_eof()
+            old.over = True  # type: ignore[attr-defined]
+        pipe.session = session
+        req = self.req
+        assert req is not None
+        req.session, session.req = session, req
+        session.offer, session.mover = self.offer, None
+        session.stats.count("resume_in_place")
+        session.take(passing.changed(executed))
+        if not session.closed:
+            session.tell(passing.token(self.token(session, self.offer)))
+        if rest and not session.closed:
+            session.take(passing.from_server(rest, passing.line))
+        spent = round((time.monotonic() - self.began) * 1000)
+        log.info("session moved in place", epoch=self.offer.epoch, ms=spent)
+
+    def passed(self, data: bytes) -> None:
+        """Nothing passes before it is up."""
+
+    # As the core sees it
+
+    def stand(self) -> None:
+        self.session.stand()
+
+    def refuse(self, after: float) -> None:
+        self.give_up("refused")
+
+    def fail(self) -> None:
+        self.give_up("failed")
+
+    def move(self) -> None:
+        self.give_up("moved")
+
+    def end(self) -> None:
+        self.give_up("ended")
+
+    def give_up(self, reason: str) -> None:
+        """The client returns by itself, with a token for the life that was claimed for it."""
+        if self.over:
+            return
+        self.over = True
+        session = self.session
+        session.mover = None
+        session.stats.count(f"resume_in_place_{reason}")
+        if not session.closed and isinstance(session.passing, Passing):
+            session.tell(session.passing.token(self.token(session, self.offer)))
+            session.say_move()
+        if self.req is not None:
+            self.req.gone()
+
+    def stop(self) -> None:
+        """The client has gone."""
+        if not self.over:
+            self.over = True
+            if self.req is not None:
+                self.req.gone()
--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -21,7 +21,8 @@
 from gradegap.operator_file import ResumeSettings
 from gradegap.resume.claims import CLAIMS, Claimed, LocalClaims, claim
 from gradegap.resume.lines import MOST
-from gradegap.resume.switch import Passing
+from gradegap.resume.move import WAIT, Mover
+from gradegap.resume.switch import Passing, State
 from gradegap.resume.token import BadToken, Place, Ring, digest, opened, seal
 from gradegap.resume.window import WINDOW
 from gradegap.stats import Stats
@@ -63,6 +64,16 @@
     cls: str
 
 
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A session whose next life is being claimed."""
+
+    stopped: bool = False
+
+    def stop(self) -> None:
+        self.stopped = True
+
+
 class Resumer:
     """Makes sessions resumable at one node. `store` is the store, where there is one by now."""
 
@@ -240,6 +251,88 @@
             told += passing.from_server(rest, passing.line).to_client
         return told
 
+    # In place
+
+    def move(self, session: ClientSession) -> bool:
+        """Whether a session goes to another server while its client's connection stays: not from a node that
+        leaves itself, and not while its window can't be trusted."""
+        offer, passing, opening = session.offer, session.passing, session.opening
+        core = session.core
+        good = isinstance(offer, Offer) and isinstance(passing, Passing) and passing.state is not State.OVER
+        if not good or core.leaving or core.drained_by is not None or opening is None:
+            return False
+        assert isinstance(offer, Offer) and isinstance(passing, Passing)
+        head, _, fields = (opening.before + b"1" + opening.after).decode().rstrip("\r\n").rpartition(" ")
+        values = dict(pair.split("=", 1) for pair in fields.split(","))
+        following = dataclasses.replace(offer, epoch=offer.epoch + 1)
+        place = Place(offer.session, offer.client, offer.cls, "", 0, offer.epoch, 0)
+        passing.hold()
+        session.mover = waiting = Waiting()
+
+        def won() -> None:
+            if waiting.stopped or session.closed:
+                return
+            now = dataclasses.replace(following, seen=passing.position)
+            told = values | {"d": str(round(WAIT * 1000)), "again": "1"}
+            told |= {"rs": "1", "rn": f"{now.session}.{now.epoch}", "rh": str(now.seen)}
+            line = f"{head} {','.join(f'{k}={v}' for k, v in told.items())}\r\n"
+            mover = Mover(session, parse_opening(line.encode()), now, self._accepts(now), self._token)
+            session.mover = mover
+            # Only once the core has let the req of the server that is left go: they bear one id.
+            self.loop.call_soon(mover.start)
+
+        def lost(why: str) -> None:
+            """The life in force is not this one's to give on: the client's own token says more."""
+            self.stats.count("resume_in_place_unclaimed")
+            log.warning("not moved in place", why=why)
+            if not waiting.stopped and not session.closed:
+                session.mover = None
+                session.say_move()
+
+        # Later: the core first ends what it has of the server that is left.
+        self.loop.call_soon(self._claim_on, place, won, lost)
+        return True
+
+    def _claim_on(self, place: Place, won: Callable[[], None], lost: Callable[[str], None]) -> None:
+        """The next life of a session that this node has."""
+        if self.store is None:
+            try:
+                self.claims.claim(place, time.time())
+            except Claimed as error:
+                lost(str(error))
+            else:
+                won()
+            return
+        store = self.store()
+        if store is None:
+            lost("no store")
+            return
+
+        def found(answer: wire.Answer) -> None:
+            try:
+                if answer.outcome != "ok":
+                    raise Claimed(answer.text)
+                compare, op = claim(place, self.node, answer.items[0] if answer.items else None)
+            except Claimed as error:
+                lost(str(error))
+                return
+            store.service.request(wire.Write((op,), (compare,), author=self.node), claimed, WAIT)
+
+        def claimed(answer: wire.Answer) -> None:
+            if answer.outcome == "ok" and answer.succeeded:
+                won()
+            else:
+                lost(answer.text or "another came with its token at this moment")
+
+        store.service.request(wire.Get(CLAIMS + place.session), found, WAIT)
+
+    def _accepts(self, offer: Offer) -> Callable[[bytes], int | None]:
+        def executed(line: bytes) -> int | None:
+            found = _ACCEPTED.fullmatch(line)
+            return int(found[2]) if found is not None and int(found[2]) >= offer.seen else None
+
+        return executed
+
     def _token(self, session: ClientSession, offer: Offer) -> str:
         req = session.req
         server = req.attempt.backend.id if req is not None and req.attempt is not None else ""
