--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -33,6 +33,7 @@
 
 RING = "keys/resume"
 AGAIN = 0.5  # s after which a client may come again whose token could not be claimed
+MOST_FRUITLESS = 3  # moves in place without an answer in between
 LEAST_WAIT = 0.05  # s that a req has left, however long its claim took
 _ACCEPTED = re.compile(rb"UP ([!-~]+) rs=(0|[1-9][0-9]{0,15})")
 
@@ -62,6 +63,8 @@
     seen: int
     client: str
     cls: str
+    position: int = -1  # answers that had passed when it was last moved in place
+    fruitless: int = 0  # moves since, with no answer in between
 
 
 @dataclasses.dataclass(slots=True)
@@ -262,6 +265,14 @@
         if not good or core.leaving or core.drained_by is not None or opening is None:
             return False
         assert isinstance(offer, Offer) and isinstance(passing, Passing)
+        # Guards against a request that ends every server it comes to: without an answer in between, a session
+        # is not handed from one to the next for ever.
+        offer.fruitless = offer.fruitless + 1 if passing.position == offer.position else 0
+        offer.position = passing.position
+        if offer.fruitless >= MOST_FRUITLESS:
+            self.stats.count("resume_in_place_fruitless")
+            log.warning("a session is not moved again: no answer came of the last moves")
+            return False
         head, _, fields = (opening.before + b"1" + opening.after).decode().rstrip("\r\n").rpartition(" ")
         values = dict(pair.split("=", 1) for pair in fields.split(","))
         following = dataclasses.replace(offer, epoch=offer.epoch + 1)
--- a/tests/resume_world.py
+++ b/tests/resume_world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 from collections import defaultdict
@@ -46,7 +47,7 @@
 
 class ResumeBackend(Backend):
     """A save server. `knows` is whether it speaks the extension; `dies` ends the next request's connection:
-    "before" it ran, or "after" it ran and before its answer."""
+    "before" it ran, or "after" it ran and before its answer, or "always" before."""
 
     def __init__(self, name: str, store: SaveStore, knows: bool = True) -> None:
         self.store, self.knows, self.dies = store, knows, ""
@@ -77,7 +78,10 @@
             for answer in window.resume(int(values.get("rh", "0"))):
                 sock.sendall(lines.write(answer))
             self._session(sock, file, session, int(epoch), window)
-        except (OSError, lines.BadLine):
+        except lines.BadLine as error:
+            with contextlib.suppress(OSError):
+                sock.sendall(lines.write(lines.Over(str(error).split(":")[0])))
+        except OSError:
             pass
         finally:
             sock.close()
@@ -101,8 +105,8 @@
                 good = self.store.write(session, epoch, window, None)
                 answer = None
             elif isinstance(line, Request):
-                dies, self.dies = self.dies, ""
-                if dies == "before":
+                dies, self.dies = self.dies, self.dies if self.dies == "always" else ""
+                if dies in ("before", "always"):
                     hard_reset(sock)
                     return
                 answer, good = window.request(line), True
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
 import time
 from collections.abc import Coroutine
@@ -17,6 +18,7 @@
 from gradegap.resume.token import Ring
 from gradegap.store.remote import Remote
 from tests.resume_world import ResumeBackend, SaveStore
+from tests.test_quic import QuicClient, quic_world
 from tests.world import BUSY_MACHINE, Backend, Client, World, free_port, fresh_id, wait_for, world
 
 ON = "[resume]\n"
@@ -348,3 +350,67 @@
         c.sock.close()
         wait_for(lambda: silent.ended, 3.0)
         wait_for(lambda: w.counters()["reqs"] == "0")
+
+
+def test_a_quic_client_that_changes_its_address_is_moved_in_place(tmp_path: Path) -> None:
+    store = SaveStore()
+    a, b = ResumeBackend("a", store), ResumeBackend("b", store)
+    with quic_world(tmp_path, [a, b], ON) as (w, port):
+        c = QuicClient(port)
+        said = c.ask("c=live,d=1500,g=1,rs=1")
+        token_of(said)
+        leaves, stays = (a, b) if said.startswith("UP a") else (b, a)
+        told, number = [], 0
+
+        def ask() -> None:
+            nonlocal number
+            number += 1
+            c.send(b"K %d\r\nQ %d r%d\r\n" % (number - 1, number, number))
+            while not (line := c.line()).startswith("A "):
+                told.append(line)
+            assert line == f"A {number} done r{number}"
+
+        ask()
+        w.director.tell(leaves, state="Terminating")
+        c.hop()
+        while not stays.opens:
+            ask()
+        c.hop()
+        ask()
+        (ran,) = store.ran.values()
+        assert ran == [b"r%d" % n for n in range(1, number + 1)]
+        assert all(line.startswith("T ") for line in told) and c.closed is None
+        counters = w.counters()
+        assert counters["resume_in_place"] == "1" and int(counters["quic_migrations"]) >= 1
+
+
+def test_a_client_that_never_acknowledges_is_told_why_it_ends(tmp_path: Path) -> None:
+    a = ResumeBackend("a", SaveStore())
+    with world(tmp_path, [a], ON) as w:
+        c = w.client()
+        token_of(opened(c))
+        for n in range(1, 258):
+            c.send(f"Q {n} x")
+            assert c.line() == (f"A {n} done x" if n <= 256 else "X window")
+        assert c.line() == "" and len(a.opens) == 1
+
+
+def test_a_request_that_ends_every_server_does_not_go_round_for_ever(tmp_path: Path) -> None:
+    """Such a session once went from server to server some 300 times a second."""
+    store = SaveStore()
+    servers: list[Backend] = [ResumeBackend("a", store), ResumeBackend("b", store)]
+    with world(tmp_path, servers, ON) as w:
+        c = w.client()
+        token_of(opened(c))
+        for s in servers:
+            assert isinstance(s, ResumeBackend)
+            s.dies = "always"
+        c.send("Q 1 x")
+        line = "T "
+        with contextlib.suppress(ConnectionResetError):  # as its last server was, it is ended in kind
+            while line.startswith("T "):
+                line = c.line()
+            assert line in ("", "MOVE")
+        assert sum(len(s.opens) for s in servers) <= 6
+        counters = w.counters()
+        assert int(counters["resume_in_place"]) <= 4
