--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -89,6 +89,7 @@
     report: Mapping[str, float] | None = None  # the last that a probe brought, and when
     report_at: float = NEVER
     told_by_peer: bool = False  # the report is another node's
+    silent_at: float = NEVER  # when a probe of this node's was last left unanswered, and none answered since
     least_delay: float = 9.0  # s, the shortest a message took: the way there and back
     noted_at: float = NEVER
     connecting: set[Attempt] = field(default_factory=set)  # nothing written yet
@@ -468,6 +469,9 @@
             self.stats.count(f"probe_{result.name.lower()}")
             if b is not None and report is not None:
                 b.report, b.report_at, b.told_by_peer = report, self.now(), False
+                b.silent_at = NEVER
+            elif b is not None and result is api.Result.TIMEOUT:
+                b.silent_at = self.now()
             self.feed(api.ProbeResult(a.server, result, self.now() - began, report))
 
         if b is None or not self.may_send(b):
--- a/gradegap/store/gossip.py
+++ b/gradegap/store/gossip.py
@@ -2,7 +2,8 @@
 
 A node that starts anew knows no loads, and a list that may be out of date. What its siblings tell it reaches
 the module as its own events: reports at the time they were made, so that they are weighed by their age, and
-who drains or has started anew as changes of the list, until discovery itself has told one.
+who drains or has started anew as changes of the list, until discovery itself has told one, who is silent as a
+probe without an answer.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 from collections.abc import Callable
 
 from gradegap import interface as api
-from gradegap.core import Core
+from gradegap.core import PROBE_WAIT, Backend, Core
 from gradegap.stats import Stats
 from gradegap.store.wire import Gossip, Learned
 
@@ -28,6 +29,7 @@
 
     def __init__(self, node: str, core: Core, stats: Stats, told: Callable[[], bool]) -> None:
         self.node, self.core, self.stats = node, core, stats
+        self.silent: dict[str, float] = {}  # by server, the latest word of a sibling
         self.told = told  # whether discovery has told this node a list
 
     def tell(self, state: dict[str, object]) -> Gossip:
@@ -38,6 +40,11 @@
             for b in self.core.backends.values()
             if b.report is not None and not b.told_by_peer and now - b.report_at < OLDEST
         ]
+        seen += [
+            Learned(b.id, "silent", now - b.silent_at)
+            for b in self.core.backends.values()
+            if now - b.silent_at < OLDEST
+        ]
         if self.told():
             seen += [
                 Learned(b.id, "listed", 0.0, None, int(b.told.phase), b.told.started_at)
@@ -59,6 +66,8 @@
             b = self.core.backends.get(learned.server)
             if b is None or b.told is None:
                 self.stats.count("gossip_unknown_server")
+            elif learned.kind == "silent":
+                self._silent(learned, b, now)
             elif learned.report is None:
                 if not self.told() and (learned.phase, learned.started_at) != (
                     b.told.phase,
@@ -76,9 +85,23 @@
             self.stats.count("gossip_listed", len(changed))
             self.core.listing(api.ListKind.DELTA, changed)
 
+    def _silent(self, learned: Learned, b: Backend, now: float) -> None:
+        """A sibling's probe was left unanswered: the module hears of it as of one of its own, and no more
+        often than of its own, where this node has no later answer."""
+        at = now - learned.age
+        known = max(b.silent_at, self.silent.get(b.id, -1e9)) + NEWER
+        if at <= max(b.report_at, known) or learned.age > OLDEST:
+            self.stats.count("gossip_old")
+            return
+        self.silent[b.id] = at  # apart from what this node saw itself, which alone it tells on
+        self.stats.count("gossip_silent")
+        self.core.feed(api.ProbeResult(b.id, api.Result.TIMEOUT, PROBE_WAIT, None))
+
     def _fit(self, learned: Learned) -> bool:
         """Guards the module against figures that no probe could have brought."""
         report = learned.report or {}
+        if learned.kind == "silent":
+            return learned.report is None and 0.0 <= learned.age < 3600.0
         if learned.kind == "listed":
             return learned.report is None and learned.phase in PHASES and 0 <= learned.started_at < 1e11
         return (
--- a/gradegap/store/wire.py
+++ b/gradegap/store/wire.py
@@ -104,7 +104,7 @@
     """Something that a node has seen of a save server, with its age in seconds."""
 
     server: str
-    kind: str  # "report", or "listed": what its list says of it
+    kind: str  # "report"; "silent": a probe had no answer; "listed": what its list says of it
     age: float
     report: dict[str, float] | None = None
     phase: int = 0
--- a/tests/test_store_node.py
+++ b/tests/test_store_node.py
@@ -232,6 +232,14 @@
     assert learner.tell({}).learned == []
     core.backends["s2"].report, core.backends["s2"].report_at = {"x0": 0.1}, core.now()
     assert [x.server for x in learner.tell({}).learned] == ["s2"]
+    # Who is silent at a sibling is heard of as a probe without an answer, once, and not told on twice.
+    del heard[:]
+    learner.hear(Gossip("other", {}, [Learned("s1", "silent", 3.0)]))  # s1 has answered since
+    assert not heard
+    core.backends["s1"].report_at = core.now() - 9.0
+    learner.hear(Gossip("other", {}, [Learned("s1", "silent", 1.0)]))
+    learner.hear(Gossip("third", {}, [Learned("s1", "silent", 1.0)]))
+    assert [server for _, server in heard] == ["s1"] and core.stats.counts["gossip_silent"] == 1
     # A list that may be out of date is mended by what siblings were told, until discovery has told one.
     drains = Learned("s1", "listed", 0.0, None, int(api.Phase.DRAINING), 77.0)
     learner.hear(Gossip("other", {}, [drains]))
