--- a/gradegap/raft/core.py
+++ b/gradegap/raft/core.py
@@ -95,7 +95,6 @@
         self.reads: list[tuple[int, int, int]] = []  # number, index, round that must be answered
         self.beat_at = NEVER
         self.led_at = NEVER
-        self.first_of_term = 0  # the leader's first entry
         self.transferee = ""
         self.transfer_by = NEVER
         self.told_now = False  # TimeoutNow is out in this term: no lease holds any more
@@ -265,7 +264,6 @@
         self.rounds.clear()
         self.uncommitted = sum(e.size for e in self.log.slice(self.commit + 1, 1 << 40))
         self._know_members(now)
-        self.first_of_term = self.log.last_index + 1
         self._append(Kind.EMPTY, b"")
         self._beat(now)
         self._advance(now)
--- a/gradegap/resume/commands.py
+++ b/gradegap/resume/commands.py
@@ -8,14 +8,12 @@
 import msgspec
 import typer
 
-from gradegap.resume.token import BadToken, Ring, digest, opened
+from gradegap.resume.token import RING, BadToken, Ring, digest, opened
 from gradegap.store.commands import JSON, NODE, SECRET, WAIT, author, remote, say, stop
 from gradegap.store.machine import Compare, Item, Op
 from gradegap.store.remote import Remote
 from gradegap.store.wire import Write
 
-RING = "keys/resume"
-
 keys = typer.Typer(help="The keys that seal tokens of sessions.", no_args_is_help=True)
 token = typer.Typer(help="Tokens of sessions.", no_args_is_help=True)
 
--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -23,7 +23,7 @@
 from gradegap.resume.lines import MOST
 from gradegap.resume.move import WAIT, Mover, Offer
 from gradegap.resume.switch import Passing, State
-from gradegap.resume.token import BadToken, Place, Ring, digest, opened, seal
+from gradegap.resume.token import RING, BadToken, Place, Ring, digest, opened, seal
 from gradegap.resume.window import WINDOW
 from gradegap.stats import Stats
 from gradegap.store import wire
@@ -31,7 +31,6 @@
 
 log = structlog.get_logger()
 
-RING = "keys/resume"
 AGAIN = 0.5  # s after which a client may come again whose token could not be claimed
 MOST_FRUITLESS = 3  # moves in place without an answer in between
 LEAST_WAIT = 0.05  # s that a req has left, however long its claim took
@@ -171,38 +170,56 @@
             log.info("session resumed", token=digest(token), epoch=offer.epoch)
             self._go_on(session, head, values, offer, time.monotonic() - began)
 
+        def claimed(error: Claimed) -> None:
+            self._turn(session, token, error)
+
+        def later(why: str) -> None:
+            self._later(session, why)
+
+        wait = session.opening.ask.wait if session.opening is not None else None
+        self._next_life(place, min(wait or 1.0, 5.0) * 0.8, won, claimed, later)
+
+    def _next_life(
+        self,
+        place: Place,
+        left: float,
+        won: Callable[[], None],
+        claimed: Callable[[Claimed], None],
+        later: Callable[[str], None],
+    ) -> None:
+        """Claim the life after `place`'s, within `left` s: `won`; `claimed` where another has it; `later`
+        where nobody can say."""
         if self.store is None:
             try:
                 self.claims.claim(place, time.time())
             except Claimed as error:
-                self._turn(session, token, error)
+                claimed(error)
             else:
                 won()
             return
         store = self.store()
         if store is None:
-            self._later(session, "no store")
+            later("no store")
             return
-        left = session.opening.ask.wait if session.opening is not None else None
-        left = min(left or 1.0, 5.0) * 0.8
+        began = time.monotonic()
 
         def found(answer: wire.Answer) -> None:
             if answer.outcome != "ok":
-                self._later(session, answer.text)
+                later(answer.text)
                 return
             try:
                 compare, op = claim(place, self.node, answer.items[0] if answer.items else None)
             except Claimed as error:
-                self._turn(session, token, error)
+                claimed(error)
                 return
             again = max(0.05, left - (time.monotonic() - began))
-            store.service.request(wire.Write((op,), (compare,), author=self.node), claimed, again)
+            store.service.request(wire.Write((op,), (compare,), author=self.node), written, again)
 
-        def claimed(answer: wire.Answer) -> None:
+        def written(answer: wire.Answer) -> None:
             if answer.outcome != "ok":
-                self._later(session, answer.text)
+                later(answer.text)
             elif not answer.succeeded:
-                self._turn(session, token, Claimed("claimed: another came with it at this moment"))
+                claimed(Claimed("claimed: another came with it at this moment"))
             else:
                 won()
 
@@ -288,42 +305,9 @@
                 session.say_move()
 
         # Later: the core first ends what it has of the server that is left.
-        self.loop.call_soon(self._claim_on, place, won, lost)
+        self.loop.call_soon(self._next_life, place, WAIT, won, lambda error: lost(str(error)), lost)
         return True
 
-    def _claim_on(self, place: Place, won: Callable[[], None], lost: Callable[[str], None]) -> None:
-        """The next life of a session that this node has."""
-        if self.store is None:
-            try:
-                self.claims.claim(place, time.time())
-            except Claimed as error:
-                lost(str(error))
-            else:
-                won()
-            return
-        store = self.store()
-        if store is None:
-            lost("no store")
-            return
-
-        def found(answer: wire.Answer) -> None:
-            try:
-                if answer.outcome != "ok":
-                    raise Claimed(answer.text)
-                compare, op = claim(place, self.node, answer.items[0] if answer.items else None)
-            except Claimed as error:
-                lost(str(error))
-                return
-            store.service.request(wire.Write((op,), (compare,), author=self.node), claimed, WAIT)
-
-        def claimed(answer: wire.Answer) -> None:
-            if answer.outcome == "ok" and answer.succeeded:
-                won()
-            else:
-                lost(answer.text or "another came with its token at this moment")
-
-        store.service.request(wire.Get(CLAIMS + place.session), found, WAIT)
-
     def _accepts(self, offer: Offer) -> Callable[[bytes], int | None]:
         def executed(line: bytes) -> int | None:
             found = _ACCEPTED.fullmatch(line)
--- a/gradegap/resume/token.py
+++ b/gradegap/resume/token.py
@@ -23,6 +23,7 @@
 LIFE = 600  # s for which a token may be used
 SKEW = 30  # s by which the clocks of two nodes may differ
 MOST_KEYS = 16
+RING = "keys/resume"  # the ring's key in the store
 
 
 class BadToken(ValueError):
--- a/gradegap/store/daemon.py
+++ b/gradegap/store/daemon.py
@@ -24,7 +24,7 @@
 from gradegap.store.forming import Forming
 from gradegap.store.leases import Granter, Holder
 from gradegap.store.links import Dial, Link, Network
-from gradegap.store.machine import Command, Expire, Logged, Machine, Result, encode, pack, unpack
+from gradegap.store.machine import Command, Expire, Logged, Machine, Result, State, encode, pack, unpack
 from gradegap.store.service import Service
 
 log = structlog.get_logger()
@@ -76,6 +76,7 @@
         self.writing = False
         self.compacting = 0
         self.packing = False
+        self.loaded: State | None = None  # the latest snapshot that came, until it is written
         self.removed = False
         self.closed = False
         self.led = False
@@ -234,6 +235,7 @@
                 return
             self.stats.count("store_snapshots_taken")
             self.machine.load(state)
+            self.loaded = state
         for entry in out.apply:
             self._apply(entry)
         if out.apply or out.install is not None:
@@ -292,11 +294,14 @@
 
     def _stop_as_removed(self) -> None:
         if not self.removed and self.raft is not None and self.raft.config_index_committed():
-            self.removed = True
-            self.stats.count("store_removed")
-            log.warning("this member was removed from its cluster; it takes no part any more")
+            self._now_removed()
             self.service.lost_leader()
 
+    def _now_removed(self) -> None:
+        self.removed = True
+        self.stats.count("store_removed")
+        log.warning("this member was removed from its cluster; it takes no part any more")
+
     def _look_at_role(self, raft: Raft) -> None:
         if raft.leads != self.led:
             self.led = raft.leads
@@ -380,13 +385,14 @@
             if out.install is not None:
                 batch.base = out.install[0]
                 batch.entries = []
-                batch.whole = unpack(out.install[1])
+                batch.whole = self.loaded
             for entry in out.entries:
                 if batch.entries and entry.index <= batch.entries[-1].index:
                     batch.entries = [e for e in batch.entries if e.index < entry.index]
                 batch.entries.append(entry)
         if batch.whole is None or self.machine.index >= batch.whole.index:
             batch.dirty = self.machine.drain()
+        self.loaded = None
         m = self.machine
         batch.applied = (m.index, m.revision, m.clock)
         if raft.log.size > COMPACT_BYTES or len(raft.log.entries) > COMPACT_ENTRIES:
@@ -395,9 +401,8 @@
 
     def _compact_with(self, batch: Batch, raft: Raft) -> None:
         """Log that the state on disk has made superfluous goes, but for a tail."""
-        index = m_index = self.machine.index
         keep = KEEP if raft.log.size <= COMPACT_BYTES else KEEP // 10
-        index = min(m_index, raft.stable) - keep
+        index = min(self.machine.index, raft.stable) - keep
         term = raft.log.term(index)
         if index > raft.log.base.index and term is not None and batch.base is None and not self.compacting:
             batch.base = SnapMeta(index, term, raft.log.config_at(index))
@@ -500,9 +505,7 @@
                 self.gossiped(word)
             case wire.Turned() if link.id and word.reason == "removed":
                 if raft is not None and not self.removed:
-                    self.removed = True
-                    self.stats.count("store_removed")
-                    log.warning("this member was removed from its cluster; it takes no part any more")
+                    self._now_removed()
             case _:
                 self.stats.count("store_words_unfit")
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -8,8 +8,7 @@
 
 import msgspec
 
-from gradegap.resume.commands import RING
-from gradegap.resume.token import Place, Ring, seal
+from gradegap.resume.token import RING, Place, Ring, seal
 from tests.cluster import cluster
 
 
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -14,8 +14,7 @@
 import pytest
 
 from gradegap.client import Session, SessionOver
-from gradegap.resume.part import RING
-from gradegap.resume.token import Ring
+from gradegap.resume.token import RING, Ring
 from gradegap.store.remote import Remote
 from tests.resume_world import ResumeBackend, SaveStore
 from tests.test_quic import QuicClient, quic_world
