A member stands for election until its removal is committed; one seed gives one run

A run of the simulator with a new seed ended without a leader. Cause: of two members the leader removed itself, was deposed before that was committed, and alone had the log to be elected with; no voter by its own latest entry, it did not stand (thesis, 4.2.2, says that it must). The seed could not be replayed, as new peers were taken in the order of a set: now in the order of the configuration.

--- a/gradegap/raft/core.py
+++ b/gradegap/raft/core.py
@@ -182,9 +182,17 @@
                 self._beat(now)
         elif now >= self.timeout_at:
             self._wait_again(now)
-            if self.me in self.config.voters:
+            if self._may_campaign():
                 self._campaign(now, pre=True)
 
+    def _may_campaign(self) -> bool:
+        """A voter; or one that is so until its own removal is committed (thesis, 4.2.2). Guards against a
+        cluster without a leader for good: who is removed may alone have the log to be elected with."""
+        log = self.log
+        if self.me in log.config.voters:
+            return True
+        return log.config_index > self.commit and self.me in log.config_at(log.config_index - 1).voters
+
     def _wait_again(self, now: float) -> None:
         self.timeout_at = now + self.tuning.election * self.rng.uniform(1.0, 2.0)
 
@@ -272,9 +280,9 @@
         there = {m.id for m in self.config.members}
         for gone in [p for p in self.peers if p not in there]:
             del self.peers[gone]
-        for member in there:
-            if member != self.me and member not in self.peers:
-                self.peers[member] = Progress(self.log.last_index + 1, heard_at=now)
+        for m in self.config.members:  # in their order, so that one seed gives one run
+            if m.id != self.me and m.id not in self.peers:
+                self.peers[m.id] = Progress(self.log.last_index + 1, heard_at=now)
 
     def _promised(self, now: float) -> bool:
         """Whether a leader may count on this member not to vote yet (thesis, 4.2.3 and 6.4.1)."""
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -43,6 +43,14 @@
     assert run() == run()
 
 
+@pytest.mark.parametrize("seed", [5001, 5129, 5481])
+def test_a_leader_that_removes_itself_leaves_no_cluster_without_one(seed: int) -> None:
+    """The one that was removed alone had the log to be elected with, and did not stand for it."""
+    sim = Sim(seed, (3, 3, 5)[seed % 3], faults=MIXES[seed % len(MIXES)])
+    sim.run(SECONDS)
+    sim.calm()
+
+
 @pytest.mark.parametrize("bug", list(BUGS), ids=lambda b: b.__name__)
 def test_the_simulator_finds_what_is_planted(bug: type[Raft]) -> None:
     found = find(bug, range(120))
