Logs of resumable sessions are checked; 500 of them under kills; tokens renewed and handed on

Sessions note what they ask and are told, a node logs each life that it gives.

Two nodes that get one token at one moment: one goes on, eight times of eight. A move without a quorum ends in a return once there is one.

Found on the way and mended: a session that stood for longer than its token's life (600 s) had nothing to come back with; tokens are now renewed at half their life and when another key seals. Without a store, the process that replaced a node's refused every token of it as of an unknown key; the ring passes with the listening socket. A write under way at a member that is removed is unknown, and was said to be a no.

--- a/gradegap/client.py
+++ b/gradegap/client.py
@@ -14,7 +14,7 @@
 import contextlib
 import random
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from gradegap.resume import lines
 from gradegap.resume.lines import Answer, BadLine, NewToken, Over, Seen
@@ -24,6 +24,9 @@
 AGAIN = (0.02, 0.5)  # s between two tries to come back: at first, and at the most
 
 
+Note = Callable[[str, int, bytes], None]  # "asked", "answered" or "failed"; the request's number; a text
+
+
 class SessionOver(Exception):
     """The session can't go on; `reason` is one word of the protocol, or of this library."""
 
@@ -36,10 +39,17 @@
     """One resumable session. `open` makes it."""
 
     def __init__(
-        self, nodes: Sequence[str], cls: str, key: str, group: str, wait: float, give_up: float
+        self,
+        nodes: Sequence[str],
+        cls: str,
+        key: str,
+        group: str,
+        wait: float,
+        give_up: float,
+        note: Note | None = None,
     ) -> None:
         self.nodes, self.cls, self.key, self.group = list(nodes), cls, key, group
-        self.wait, self.give_up = wait, give_up
+        self.wait, self.give_up, self.note = wait, give_up, note
         self.window = ClientWindow()
         self.answers: dict[int, asyncio.Future[bytes]] = {}
         self.room = asyncio.Event()
@@ -62,10 +72,12 @@
         group: str = "",
         wait: float = 1.5,
         give_up: float = 10.0,
+        note: Note | None = None,
     ) -> Session:
         """A session at one of `nodes` (host:port). `wait` is how long, in s, a node may take for each try;
-        after `give_up` s without a place it raises `SessionOver`, and where the server can't resume."""
-        made = Session(nodes, cls_name, key or secrets.token_hex(4), group, wait, give_up)
+        after `give_up` s without a place it raises `SessionOver`, and where the server can't resume. `note`
+        is told of each request as it is asked, answered or failed: for a log that can be checked."""
+        made = Session(nodes, cls_name, key or secrets.token_hex(4), group, wait, give_up, note)
         await made._come()
         made.task = asyncio.create_task(made._run())
         return made
@@ -84,6 +96,7 @@
                 await self.room.wait()
         future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self.answers[request.number] = future
+        self._note("asked", request.number, text)
         self._write(lines.write(request))
         return await future
 
@@ -96,6 +109,10 @@
                 await self.task
         self._end(SessionOver("closed"))
 
+    def _note(self, what: str, number: int, text: bytes) -> None:
+        if self.note is not None:
+            self.note(what, number, text)
+
     def _write(self, data: bytes) -> None:
         if self.writer is not None and not self.writer.is_closing():
             self.writer.write(data)
@@ -187,6 +204,7 @@
         match line:
             case Answer():
                 if self.window.answer(line):
+                    self._note("answered", line.number, line.text)
                     self.room.set()
                     future = self.answers.pop(line.number, None)
                     if future is not None and not future.done():
@@ -205,7 +223,8 @@
         self.room.set()
         if self.writer is not None:
             self.writer.close()
-        for future in self.answers.values():
+        for number, future in self.answers.items():
+            self._note("failed", number, error.reason.encode())
             if not future.done():
                 future.set_exception(error)
         self.answers.clear()
--- a/gradegap/handover.py
+++ b/gradegap/handover.py
@@ -25,7 +25,7 @@
 from gradegap import interface as api
 from gradegap.core import Ask, Core
 from gradegap.net.backend import Backends, Fetch
-from gradegap.net.client_session import TcpChannel
+from gradegap.net.client_session import Resuming, TcpChannel
 from gradegap.net.descriptors import Descriptors, DialedSocket
 from gradegap.net.framing import Opening
 from gradegap.stats import Stats
@@ -47,6 +47,7 @@
 
     out: dict[str, float]
     sockets: int  # descriptors that the first process holds
+    ring: bytes = b""  # what seals tokens of resumable sessions, where no store holds it
 
 
 class Known(msgspec.Struct, tag="known"):
@@ -326,6 +327,7 @@
     channels: set[TcpChannel]
     listening: socket.socket | None
     leaving: bool
+    resuming: Resuming | None
 
     def channel(self) -> TcpChannel: ...
     def stop_accepting(self) -> None: ...
@@ -455,7 +457,8 @@
             return
         self.link = link = Link(self.loop, sock, self._heard, self._lost)
         node.stats.count("handovers_begun")
-        link.send(Offer(dict(node.core.out), node.descriptors.own()), node.listening.fileno())
+        ring = node.resuming.handed() if node.resuming is not None else b""
+        link.send(Offer(dict(node.core.out), node.descriptors.own(), ring), node.listening.fileno())
         known = []
         for b in node.core.backends.values():
             if (e := b.told) is not None:
@@ -571,6 +574,8 @@
             case Offer() if len(fds) == 1 and self.begun is not None:
                 self.offer = message
                 self.node.descriptors.beside = message.sockets
+                if self.node.resuming is not None:
+                    self.node.resuming.take_over(message.ring)
                 self.node.listening = socket.socket(fileno=fds[0])
                 return
             case Listed():
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -95,6 +95,16 @@
         """Whether it takes a session, that is to leave its server, to another in place."""
         ...
 
+    def ended(self, session: ClientSession) -> None:
+        """A session that passed is over here."""
+        ...
+
+    def handed(self) -> bytes:
+        """What the process that replaces this one is to know."""
+        ...
+
+    def take_over(self, handed: bytes) -> None: ...
+
 
 class Moving(Protocol):
     """A session on its way to another server, its client's connection standing."""
@@ -424,6 +434,8 @@
         self.closed = True
         self.unwait()
         self.buffer.clear()
+        if self.passing is not None and self.resuming is not None:
+            self.resuming.ended(self)
         self.channel.close(ending)
 
 
--- a/gradegap/resume/move.py
+++ b/gradegap/resume/move.py
@@ -97,7 +97,7 @@
         if rest and not session.closed:
             session.take(passing.from_server(rest, passing.line))
         spent = round((time.monotonic() - self.began) * 1000)
-        log.info("session moved in place", epoch=self.offer.epoch, ms=spent)
+        log.info("session moved in place", session=self.offer.session, epoch=self.offer.epoch, ms=spent)
 
     def passed(self, data: bytes) -> None:
         """Nothing passes before it is up."""
@@ -127,6 +127,7 @@
         session = self.session
         session.mover = None
         session.stats.count(f"resume_in_place_{reason}")
+        log.info("not moved in place", session=self.offer.session, epoch=self.offer.epoch, why=reason)
         if not session.closed and isinstance(session.passing, Passing):
             session.tell(session.passing.token(self.token(session, self.offer)))
             session.say_move()
--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -22,6 +22,7 @@
 from gradegap.resume.claims import CLAIMS, Claimed, LocalClaims, claim
 from gradegap.resume.lines import MOST
 from gradegap.resume.move import WAIT, Mover, Offer
+from gradegap.resume.renew import Renewals
 from gradegap.resume.switch import Passing, State
 from gradegap.resume.token import RING, BadToken, Place, Ring, digest, opened, seal
 from gradegap.resume.window import WINDOW
@@ -32,7 +33,11 @@
 log = structlog.get_logger()
 
 AGAIN = 0.5  # s after which a client may come again whose token could not be claimed
+NO_TOKEN = "-"  # it opens nowhere
+GIVEN = "life of a session given"  # one line for each; checked against what servers claim
 MOST_FRUITLESS = 3  # moves in place without an answer in between
+RENEW_EVERY = 0.5  # s between two looks for sessions that are due a new token
+RENEW_MOST = 200  # of them at one look, so that a new key of the ring stops nothing else
 LEAST_WAIT = 0.05  # s that a req has left, however long its claim took
 _ACCEPTED = re.compile(rb"UP ([!-~]+) rs=(0|[1-9][0-9]{0,15})")
 
@@ -77,6 +82,8 @@
         self.node, self.settings, self.stats, self.loop, self.store = node, settings, stats, loop, store
         self.own = Ring().rotated(time.time_ns() // 1_000_000)  # where there is no store
         self.claims = LocalClaims()
+        self.renewals: Renewals[ClientSession] = Renewals(settings.life_s)
+        self.looking = False
 
     def ring(self) -> Ring:
         if self.store is None:
@@ -93,6 +100,50 @@
         store = self.store() if self.store is not None else None
         return store.cluster if store is not None else f"node {self.node}"
 
+    # The process that takes over from this one
+
+    def handed(self) -> bytes:
+        """What the next process of this node must know, so that tokens stay good where there is no store."""
+        return msgspec.msgpack.encode(self.own) if self.store is None else b""
+
+    def take_over(self, handed: bytes) -> None:
+        if not handed or self.store is not None:
+            return
+        try:
+            ring = msgspec.msgpack.decode(handed, type=Ring)
+            ring.check()
+        except ValueError:
+            self.stats.count("resume_ring_unfit")
+            return
+        self.own = ring
+
+    # New tokens for sessions that stand
+
+    def ended(self, session: ClientSession) -> None:
+        self.renewals.ended(session)
+
+    def _look_soon(self) -> None:
+        if not self.looking and self.renewals:
+            self.looking = True
+            self.loop.call_later(RENEW_EVERY, self._look)
+
+    def _look(self) -> None:
+        self.looking = False
+        sealing = self.ring().sealing
+        # Without a key there is nothing to seal with: what clients hold is kept until there is one.
+        due = self.renewals.due(time.monotonic(), sealing.id, RENEW_MOST) if sealing is not None else []
+        for session in due:
+            offer, passing = session.offer, session.passing
+            if session.mover is not None or not isinstance(offer, Offer) or not isinstance(passing, Passing):
+                # On its way to another life: it gets a token for that one.
+                self.renewals.given(session, time.monotonic(), sealing.id if sealing is not None else "")
+                continue
+            token = self._token(session, offer)
+            if token != NO_TOKEN:
+                session.tell(passing.token(token))
+                self.stats.count("resume_tokens_renewed")
+        self._look_soon()
+
     # First lines
 
     def begin(self, session: ClientSession, line: bytes, opening: Opening) -> bool:
@@ -167,7 +218,7 @@
         began = time.monotonic()
 
         def won() -> None:
-            log.info("session resumed", token=digest(token), epoch=offer.epoch)
+            log.info(GIVEN, session=offer.session, epoch=offer.epoch, how="return", token=digest(token))
             self._go_on(session, head, values, offer, time.monotonic() - began)
 
         def claimed(error: Claimed) -> None:
@@ -286,8 +337,10 @@
 
         def won() -> None:
             if waiting.stopped or session.closed:
+                log.info("a client left while its session's next life was claimed", session=offer.session)
                 return
             now = dataclasses.replace(following, seen=passing.position)
+            log.info(GIVEN, session=now.session, epoch=now.epoch, how="in place")
             told = values | {"d": str(round(WAIT * 1000)), "again": "1"}
             told |= {"rs": "1", "rn": f"{now.session}.{now.epoch}", "rh": str(now.seen)}
             line = f"{head} {','.join(f'{k}={v}' for k, v in told.items())}\r\n"
@@ -299,7 +352,7 @@
         def lost(why: str) -> None:
             """The life in force is not this one's to give on: the client's own token says more."""
             self.stats.count("resume_in_place_unclaimed")
-            log.warning("not moved in place", why=why)
+            log.warning("not moved in place", session=offer.session, why=why)
             if not waiting.stopped and not session.closed:
                 session.mover = None
                 session.say_move()
@@ -320,9 +373,13 @@
         server = req.attempt.backend.id if req is not None and req.attempt is not None else ""
         until = int(time.time()) + self.settings.life_s
         place = Place(offer.session, offer.client, offer.cls, server, offer.seen, offer.epoch, until)
+        ring = self.ring()
+        sealing = ring.sealing
+        self.renewals.given(session, time.monotonic(), sealing.id if sealing is not None else "")
+        self._look_soon()
         try:
-            return seal(self.ring(), self.cluster(), place)
+            return seal(ring, self.cluster(), place)
         except ValueError as error:
             self.stats.count("resume_token_not_made")
             log.warning("no token", error=str(error))
-            return "-"
+            return NO_TOKEN
--- a/gradegap/store/service.py
+++ b/gradegap/store/service.py
@@ -182,7 +182,10 @@
         elif isinstance(p.wish, wire.Get | wire.List) and p.wish.stale:
             self._answer(p, self._read(p.wish))
         elif raft is None or m.removed:
-            if m.removed:
+            if m.removed and self._doubtful(p):
+                text = "unknown: this member was removed with it under way; it may be committed or not"
+                self._answer(p, wire.Answer(0, "unknown", text))
+            elif m.removed:
                 self._answer(p, wire.Answer(0, "no", "removed: this member belongs to no cluster"))
             else:
                 p.waits_for = "leader"
@@ -400,9 +403,13 @@
                 elif p.waits_for == "transfer":
                     self._look_at_transfer(p)
 
-    def _late(self, p: Pending) -> None:
+    def _doubtful(self, p: Pending) -> bool:
+        """Whether a leader had it and it would change something: nobody can say here what came of it."""
         writes = isinstance(p.wish, wire.Write | wire.AddMember | wire.RemoveMember | wire.Transfer)
-        if writes and p.taken:
+        return writes and p.taken
+
+    def _late(self, p: Pending) -> None:
+        if self._doubtful(p):
             text = "unknown: it may be committed or not; nobody could say in time"
             self._answer(p, wire.Answer(0, "unknown", text))
         else:
@@ -562,5 +569,5 @@
 
     def close(self) -> None:
         for p in list(self.pending.values()):
-            outcome = "unknown" if p.taken else "no"
+            outcome = "unknown" if self._doubtful(p) else "no"
             self._answer(p, wire.Answer(0, outcome, f"{outcome}: this member ends"))
--- a/tests/resume_world.py
+++ b/tests/resume_world.py
@@ -7,6 +7,7 @@
 import threading
 from collections import defaultdict
 
+from gradegap.check.sessions import Record
 from gradegap.resume import lines
 from gradegap.resume.lines import Request, Seen
 from gradegap.resume.window import ServerWindow
@@ -21,16 +22,20 @@
         self.sessions: dict[str, tuple[int, int, dict[int, bytes]]] = {}  # epoch, executed, answers
         self.ran: dict[str, list[bytes]] = defaultdict(list)
         self.fenced = 0
+        self.log: list[Record] = []
 
-    def claim(self, session: str, epoch: int) -> ServerWindow | None:
+    def claim(self, session: str, epoch: int, server: str = "") -> ServerWindow | None:
         with self.lock:
             held, executed, answers = self.sessions.get(session, (0, 0, {}))
             if epoch <= held:
                 return None
             self.sessions[session] = (epoch, executed, answers)
+            self.log.append(Record("claimed", server, session=session, epoch=epoch))
             return ServerWindow(executed, answers)
 
-    def write(self, session: str, epoch: int, window: ServerWindow, effect: bytes | None) -> bool:
+    def write(
+        self, session: str, epoch: int, window: ServerWindow, effect: bytes | None, server: str = ""
+    ) -> bool:
         with self.lock:
             if self.sessions.get(session, (0,))[0] != epoch:
                 self.fenced += 1
@@ -38,6 +43,9 @@
             self.sessions[session] = (epoch, window.executed, dict(window.answers))
             if effect is not None:
                 self.ran[session].append(effect)
+                number, answer = window.executed, window.answers[window.executed]
+                said = effect.decode(), answer.decode()
+                self.log.append(Record("ran", server, number, *said, session, epoch))
             return True
 
     def release(self, session: str) -> None:
@@ -69,7 +77,7 @@
                 return
             self.lines.append((0.0, first))
             session, _, epoch = values["rn"].rpartition(".")
-            window = self.store.claim(session, int(epoch))
+            window = self.store.claim(session, int(epoch), self.name)
             if window is None:
                 sock.sendall(b"ERR\r\n")
                 return
@@ -86,6 +94,14 @@
         finally:
             sock.close()
 
+    def die(self) -> None:
+        """As when its process is killed: every connection is reset, whatever was under way, and none is
+        taken."""
+        self.stop()
+        for sock in list(self.standing):
+            with contextlib.suppress(OSError):
+                hard_reset(sock)
+
     def _plain(self, sock: socket.socket, file: object, first: str) -> None:
         self.lines.append((0.0, first))
         if first.startswith("OPEN"):
@@ -112,7 +128,7 @@
                 answer, good = window.request(line), True
                 if answer is None:
                     answer = window.ran(line.number, b"done " + line.text)
-                    good = self.store.write(session, epoch, window, line.text)
+                    good = self.store.write(session, epoch, window, line.text, self.name)
                 if dies == "after":
                     hard_reset(sock)
                     return
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,13 +16,13 @@
 
 
 @contextmanager
-def second(w: World, shared: Path | None = None) -> Iterator[tuple[World, str]]:
+def second(w: World, shared: Path | None = None, operator: str | None = None) -> Iterator[tuple[World, str]]:
     """The platform starts the program once more, with another console and all else the same."""
     console = f"127.0.0.1:{free_port()}"
     folder = w.config.parent / "second"
     folder.mkdir()
     extra = {"TMPDIR": str(shared or w.config.parent), "NODE_DISCOVERY": w.director.address}
-    with world(folder, w.backends, env=extra, console=console, listen=w.address) as n:
+    with world(folder, w.backends, operator, env=extra, console=console, listen=w.address) as n:
         yield n, console
 
 
--- /dev/null
+++ b/tests/test_resume_many.py
@@ -0,0 +1,137 @@
+"""Hundreds of resumable sessions under load, while servers and nodes drain, die and come back.
+
+Three nodes as processes, each with a member of the store; what clients, nodes and the save store logged is
+read by `gradegap.check.sessions`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+
+import msgspec
+
+from gradegap.check.sessions import Record, from_node, violations
+from gradegap.client import Session
+from gradegap.resume.token import RING, Ring
+from gradegap.store.remote import Remote
+from tests.resume_world import ResumeBackend, SaveStore
+from tests.test_store_node import Nodes, nodes
+
+__all__ = ["nodes"]
+
+SESSIONS = 500
+EVERY = 0.4  # s between two requests of a player
+GIVE_UP = 40.0  # s
+
+
+class Players:
+    """Clients that ask on and on, each with a log of its own."""
+
+    def __init__(self, nodes: list[str], seed: int) -> None:
+        self.nodes, self.rng = nodes, random.Random(seed)
+        self.log: list[Record] = []
+        self.sessions: list[Session] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.ended = asyncio.Event()
+        self.answered = 0
+
+    async def come(self, many: int) -> None:
+        for k in range(0, many, 25):
+            for j in range(k, min(k + 25, many)):
+                self.tasks.append(asyncio.create_task(self._play(f"p{j}")))
+            await asyncio.sleep(0.1)
+        await self.until(lambda: len(self.sessions) == many)
+
+    async def until(self, true: object, within: float = 40.0) -> None:
+        assert callable(true)
+        end = asyncio.get_running_loop().time() + within
+        while not true():
+            for task in self.tasks:
+                if task.done():
+                    task.result()  # raises what ended it
+            assert asyncio.get_running_loop().time() < end, "it never came about"
+            await asyncio.sleep(0.02)
+
+    async def _play(self, who: str) -> None:
+        def note(what: str, number: int, text: bytes) -> None:
+            assert what in ("asked", "answered", "failed")
+            self.log.append(Record(what, who, number, text.decode()))  # type: ignore[arg-type]
+
+        nodes = self.rng.sample(self.nodes, len(self.nodes))
+        session = await Session.open(nodes, key=who, give_up=GIVE_UP, note=note)
+        self.sessions.append(session)
+        k = 0
+        while not self.ended.is_set():
+            k += 1
+            asked = [b"%b-%d-%d" % (who.encode(), k, j) for j in range(2)]
+            assert await asyncio.gather(*(session.ask(a) for a in asked)) == [b"done " + a for a in asked]
+            self.answered += 1
+            await asyncio.sleep(EVERY * self.rng.uniform(0.5, 1.5))
+        await session.close()
+
+    async def all_answer(self, times: int = 2) -> None:
+        """As many answers come as all players ask for in `times` turns."""
+        goal = self.answered + times * len(self.tasks)
+        await self.until(lambda: self.answered >= goal)
+
+    async def end(self) -> None:
+        self.ended.set()
+        await asyncio.gather(*self.tasks)
+
+
+def logged(nodes: Nodes) -> list[Record]:
+    found: list[Record] = []
+    for name in nodes.names:
+        for folder in (name, f"{name}-again"):
+            path = nodes.folder / folder / "node.log"
+            if path.exists():
+                found += from_node(folder, path.read_text())
+    return found
+
+
+def test_five_hundred_sessions_lose_and_double_nothing_while_servers_and_nodes_go(nodes: Nodes) -> None:
+    store = SaveStore()
+    a, b, c, d = servers = [ResumeBackend(n, store) for n in "abcd"]
+    nodes.backends = list(servers)
+
+    async def tell(backend: ResumeBackend, state: str) -> None:
+        alive = [w for w in nodes.node.values() if w.process.poll() is None]
+        await asyncio.gather(*(asyncio.to_thread(w.director.tell, backend, state=state) for w in alive))
+
+    async def main() -> None:
+        players = Players([nodes.node[n].address for n in nodes.names], seed=3)
+        await players.come(SESSIONS)
+        await players.all_answer()
+        await tell(a, "Terminating")  # a drain: in place, within its 2 s
+        await players.all_answer()
+        await asyncio.to_thread(b.die)  # a death: in place too
+        await players.all_answer()
+        await tell(b, "Gone")
+        await tell(a, "Ready")
+        first = nodes.node["n3"]
+        first.process.kill()  # a node's death: by return
+        first.process.wait()
+        await players.all_answer()
+        again = await asyncio.to_thread(nodes.start, "n3", "[resume]\n", "n3-again", listen=first.address)
+        nodes.node["n3"] = again
+        await players.until(lambda: again.ready())
+        await players.all_answer()
+        await tell(c, "Terminating")
+        leaving = nodes.node["n2"].process
+        leaving.send_signal(signal.SIGTERM)  # a planned end, in the middle of that drain
+        await players.all_answer()
+        await asyncio.to_thread(leaving.wait, 10)
+        await players.end()
+        records = [*players.log, *logged(nodes), *store.log]
+        assert list(violations(records)) == []
+        answers = sum(r.what == "answered" for r in records)
+        moved = sum(r.what == "given" for r in records)
+        print(f"{answers} answers, {moved} lives given, {sum(s.returns for s in players.sessions)} returns")
+        assert moved > SESSIONS and d.standing
+
+    nodes.start_all("[resume]\n")
+    with Remote(nodes.direct["n1"], b"", 10.0) as r:
+        r.set(RING, msgspec.to_builtins(Ring().rotated(1)))
+    asyncio.run(asyncio.wait_for(main(), 150.0))
--- /dev/null
+++ b/tests/test_resume_nodes.py
@@ -0,0 +1,167 @@
+"""Tokens at several nodes with a replicated store, at a node that is replaced, and over a change of keys."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from pathlib import Path
+
+import msgspec
+
+from gradegap.check.sessions import from_node, violations
+from gradegap.client import Session
+from gradegap.resume.renew import Renewals
+from gradegap.resume.token import RING, Place, Ring, opened
+from gradegap.store.remote import Remote
+from tests.resume_world import ResumeBackend, SaveStore
+from tests.test_handover import second
+from tests.test_resume import ON, run, token_of
+from tests.test_resume import opened as opening
+from tests.test_store_node import Nodes, nodes
+from tests.world import Client, World, wait_for, world
+
+__all__ = ["nodes"]
+
+
+def started(nodes: Nodes) -> tuple[SaveStore, list[ResumeBackend]]:
+    store = SaveStore()
+    servers = [ResumeBackend(n, store) for n in "ab"]
+    nodes.backends = list(servers)
+    nodes.start_all(ON)
+    with Remote(nodes.direct["n1"], b"", 10.0) as r:
+        r.set(RING, msgspec.to_builtins(Ring().rotated(1)))
+    return store, servers
+
+
+def begun(w: World) -> tuple[Client, str]:
+    """A resumable session; the ring comes to a node a moment after it was written."""
+    while True:
+        c = w.client()
+        if ",t=" in (said := opening(c)):
+            return c, token_of(said)
+
+
+def test_of_two_nodes_that_get_one_token_at_one_moment_one_goes_on(nodes: Nodes) -> None:
+    store, _ = started(nodes)
+    for turn in range(8):
+        c, token = begun(nodes.node["n1"])
+        c.send(f"Q 1 turn-{turn}")
+        assert c.line() == f"A 1 done turn-{turn}"
+        c.sock.close()
+        ends = [nodes.node[n].client() for n in ("n2", "n3")]
+        told = ["", ""]
+        gate = threading.Barrier(2)
+
+        def come(k: int, token: str = token) -> None:
+            gate.wait()  # noqa: B023
+            told[k] = opening(ends[k], f",rh=1,rt={token}")  # noqa: B023
+
+        threads = [threading.Thread(target=come, args=(k,)) for k in (0, 1)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join(5.0)
+        won = [said for said in told if said.startswith("UP ")]
+        assert len(won) == 1 and "X claimed" in told, told
+        assert opening(nodes.node["n1"].client(), f",rh=1,rt={token}") == "X claimed"  # nor a second later
+    log = [r for n in nodes.names for r in from_node(n, nodes.node[n].log.read_text())]
+    assert len(log) == 8 and not list(violations([*log, *store.log]))
+
+
+def test_a_move_without_a_quorum_ends_in_a_return_once_there_is_one(nodes: Nodes) -> None:
+    store, (a, b) = started(nodes)
+    w = nodes.node["n1"]
+    begun(w)
+
+    async def main() -> None:
+        session = await Session.open([w.address], key="k", give_up=30.0)
+        assert await session.ask(b"before") == b"done before"
+        nodes.cut_off("n1")
+        await asyncio.to_thread(wait_for, lambda: not w.ready())  # its lease is over
+        leaves = a if session.receipt == "a" else b
+        await asyncio.to_thread(leaves.die)
+        waiting = asyncio.create_task(session.ask(b"during"))
+        await asyncio.to_thread(wait_for, lambda: int(w.counters().get("resume_not_claimed", 0)) > 0, 10.0)
+        assert not waiting.done()  # nobody can say whose the session is
+        nodes.relay.heal()
+        assert await waiting == b"done during"
+        assert session.returns >= 1
+        await session.close()
+
+    run(main())
+    (ran,) = (r for r in store.ran.values() if b"before" in r)
+    assert ran == [b"before", b"during"]
+
+
+def test_a_session_returns_to_the_process_that_replaced_its_node_s(tmp_path: Path) -> None:
+    """Without a store the ring was the first process's own: every token was of an unknown key."""
+    store = SaveStore()
+    a = ResumeBackend("a", store)
+
+    async def main(w: World) -> None:
+        sessions = [await Session.open([w.address], key=f"k{k}", give_up=20.0) for k in range(10)]
+        for k, s in enumerate(sessions):
+            assert await s.ask(b"one-%d" % k) == b"done one-%d" % k
+        with second(w, operator=ON) as (n, _):
+            await asyncio.to_thread(wait_for, lambda: "takes clients" in w.log.read_text())
+            asks = [asyncio.create_task(s.ask(b"two-%d" % k)) for k, s in enumerate(sessions)]
+            w.process.terminate()
+            for k, task in enumerate(asks):
+                assert await task == b"done two-%d" % k
+            assert await asyncio.to_thread(w.process.wait, 5) == 0
+            for k, s in enumerate(sessions):
+                assert await s.ask(b"three-%d" % k) == b"done three-%d" % k
+                assert s.returns == 1
+                await s.close()
+            assert n.counters()["resume_returns"] == "10"
+
+    with world(tmp_path, [a], ON, env={"TMPDIR": str(tmp_path)}) as w:
+        run(main(w))
+    assert sorted(store.ran.values()) == sorted(
+        [b"one-%d" % k, b"two-%d" % k, b"three-%d" % k] for k in range(10)
+    )
+
+
+def test_a_new_key_gives_standing_sessions_new_tokens(nodes: Nodes) -> None:
+    started(nodes)
+    c, token = begun(nodes.node["n1"])
+
+    def rotate() -> Ring:
+        with Remote(nodes.direct["n2"], b"", 10.0) as r:
+            item = r.get(RING)
+            assert item is not None
+            ring = msgspec.convert(item.value, Ring)
+            r.set(RING, msgspec.to_builtins(ring.rotated(2)))
+            return ring
+
+    old = rotate()
+    told = c.line()
+    assert told.startswith("T ") and told[2:] != token
+    with Remote(nodes.direct["n1"]) as r:
+        item = r.get(RING)
+        assert item is not None
+        ring, cluster = msgspec.convert(item.value, Ring), r.status()["cluster"]
+        now = ring.retired(old.keys[0].id)
+        r.set(RING, msgspec.to_builtins(now))
+    place: Place = opened(now, cluster, told[2:], time.time())
+    assert place.epoch == 1 and place.client == "7f3a"
+    c.sock.close()
+    again = nodes.node["n2"].client()
+    wait_for(lambda: opening(nodes.node["n3"].client(), f",rh=0,rt={token}") == "X retired_key")
+    assert token_of(opening(again, f",rh=0,rt={told[2:]}"))
+
+
+def test_tokens_are_renewed_at_half_their_life_and_when_the_key_changes() -> None:
+    renewals: Renewals[str] = Renewals(600.0)
+    for k in range(5):
+        renewals.given(f"s{k}", float(k), "k1")
+    assert renewals.due(300.0 - 0.5, "k1", 10) == []
+    assert renewals.due(302.0, "k1", 10) == ["s0", "s1", "s2"]
+    assert renewals.due(302.0, "k1", 2) == ["s0", "s1"]
+    renewals.given("s0", 302.0, "k1")
+    renewals.ended("s1")
+    assert renewals.due(302.0, "k1", 10) == ["s2"]
+    assert renewals.due(302.0, "k2", 10) == ["s2", "s3", "s4", "s0"]
+    renewals.given("s2", 303.0, "k2")
+    assert renewals.due(303.0, "k2", 10) == ["s3", "s4", "s0"]
