--- /dev/null
+++ b/bench/capture.py
@@ -0,0 +1,155 @@
+"""What recording and replaying cost, beside the module alone in the same run.
+
+    python -m bench.capture
+
+A made-up day of a module (arrivals, probes, deaths, drains; seeded) is decided plainly, under a recorder, and
+replayed from its file; rounds in turn. Then the most that a state holds the loop up, by connections held, and
+CPU and memory of a node that serves the same reqs with and without `[capture]`. No part of CI.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import gradegap.choice
+from gradegap import interface as api
+from bench.resume import resident
+from bench.store import cpu
+from gradegap.capture import records, replay, state
+from gradegap.capture.recorder import Recorder, Tap
+from gradegap.choice import Balancer
+from gradegap.operator_file import CaptureSettings
+from gradegap.stats import Stats
+from tests.test_capture import Day
+from tests.world import Backend, Client, World, wait_for
+
+STEPS = 20_000
+ROUNDS = 3
+REQS = 1500
+
+
+def events() -> list[tuple[float, Any]]:
+    day = Day(1, 40).live(STEPS)
+    return [(row[2], records.event(row[3])) for row in day.steps]
+
+
+def alone(told: list[tuple[float, Any]]) -> float:
+    balancer = Balancer(Day(1, 40).settings, 1)
+    began = time.process_time()
+    for at, event in told:
+        balancer.handle(at, event)
+    return time.process_time() - began
+
+
+async def under_recorder(told: list[tuple[float, Any]], folder: Path) -> tuple[float, Stats]:
+    """CPU of loop and thread together."""
+    settings, stats = Day(1, 40).settings, Stats()
+    balancer = Balancer(settings, 1)
+    loop = asyncio.get_running_loop()
+    set_up = CaptureSettings(str(folder), state_s=3600.0)
+    made = Recorder(set_up, balancer, settings, 1, stats, loop, lambda: told[0][0], "bench")
+    made.begin()
+    tap = Tap(balancer, made)
+    began = time.process_time()
+    for k, (at, event) in enumerate(told):
+        tap.handle(at, event)
+        if k % 2000 == 0:
+            while made.under_way > 8:
+                await asyncio.sleep(0.001)
+    made.close()
+    while made.file is not None or made.under_way:
+        await asyncio.sleep(0.001)
+    return time.process_time() - began, stats
+
+
+def module() -> dict[str, Any]:
+    told = events()
+    plain, taped, again, size, steps = [], [], [], 0, 1
+    for _ in range(ROUNDS):
+        plain.append(alone(told))
+        with tempfile.TemporaryDirectory() as name:
+            spent, stats = asyncio.run(under_recorder(told, Path(name)))
+            assert not stats.counts["capture_dropped"]
+            taped.append(spent)
+            (path,) = Path(name).iterdir()
+            data = path.read_bytes()
+        size = len(data)
+        items = list(replay.items(data))
+        began = time.process_time()
+        found = replay.replay(items, gradegap.choice)
+        again.append(time.process_time() - began)
+        assert found.difference is None and not found.gaps
+        steps = found.steps
+    return {
+        "steps": steps,
+        "module alone, us a step": round(statistics.median(plain) / steps * 1e6, 2),
+        "under a recorder, us a step": round(statistics.median(taped) / steps * 1e6, 2),
+        "replayed and compared, us a step": round(statistics.median(again) / steps * 1e6, 2),
+        "replay beside the module alone": round(
+            statistics.median(b / a for a, b in zip(plain, again, strict=True)), 2
+        ),
+        "bytes a step": round(size / steps, 1),
+    }
+
+
+def states() -> dict[str, Any]:
+    found = {}
+    for held in (100, 1000, 4000):
+        day = Day(2, 40)
+        for ident in range(1, held + 1):  # each named by its server, as after a handover
+            request = api.Request(ident, "live", day.now + 2.0, "", f"k{ident}", f"g{ident % 500}")
+            day.feed(api.Inherited(request, f"s{ident % 40}"))
+        began = time.perf_counter()
+        state.dump(day.balancer)
+        found[f"{held} held, ms"] = round((time.perf_counter() - began) * 1e3, 1)
+    return found
+
+
+def node(on: bool) -> tuple[float, int]:
+    """CPU us a req, and KiB, of a node that answers reqs one after the other."""
+    with tempfile.TemporaryDirectory() as name:
+        operator = f'[capture]\nfolder = "{name}/captures"\n' if on else None
+        w = World(Path(name), [Backend(n) for n in "abc"], operator)
+        try:
+            wait_for(w.ready, 15.0)
+            for _ in range(100):
+                one(w.client())
+            before = cpu(w.process.pid)
+            for _ in range(REQS):
+                one(w.client())
+            return (cpu(w.process.pid) - before) / REQS * 1e6, resident(w.process.pid)
+        finally:
+            w.process.kill()
+            w.process.wait()
+
+
+def one(client: Client) -> None:
+    assert client.ask()[:2] in ("UP", "BU")
+    client.sock.close()
+
+
+def main() -> None:
+    pairs = [(node(False), node(True)) for _ in range(3)]
+    said = {
+        "module": module(),
+        "a state holds the loop up": states(),
+        "node, CPU us a req": {
+            "plain": round(statistics.median(a[0] for a, _ in pairs)),
+            "recorded": round(statistics.median(b[0] for _, b in pairs)),
+            "ratio, each round": [round(b[0] / a[0], 3) for a, b in pairs],
+        },
+        "node, KiB more": [b[1] - a[1] for a, b in pairs],
+        "peak of this bench, MiB": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+    }
+    print(json.dumps(said, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/gradegap/app.py
+++ b/gradegap/app.py
@@ -18,7 +18,7 @@
 
 __all__ = ["Node", "configure_log", "load_both", "run", "serve", "stop_line"]
 
-SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
+SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2)
 
 
 def hold_signals() -> None:
@@ -37,6 +37,7 @@
         loop.add_signal_handler(signal.SIGUSR1, node.print_counters)
         loop.add_signal_handler(signal.SIGTERM, node.stop)
         loop.add_signal_handler(signal.SIGHUP, node.reload)
+        loop.add_signal_handler(signal.SIGUSR2, node.toggle_capture)
         try:
             await node.start()
             # Only now: the loop's worker threads have begun with both held, and so never take them.
--- /dev/null
+++ b/gradegap/capture/explain.py
@@ -0,0 +1,130 @@
+"""Why a req went where it went: its decisions replayed under watch, in words and figures.
+
+The module runs as it is; a class made from its own `Balancer` notes what its steps were given and gave, so
+nothing is recorded at the node that a replay can find out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from enum import Enum
+from types import ModuleType
+from typing import Any
+
+from gradegap import interface as api
+from gradegap.capture import records, state
+from gradegap.capture.replay import Gap, Item, Settings, State, Step, names
+
+WATCHED = ("_draw", "_pick", "_decide", "_has_room", "beta", "_send", "_wait", "_give_up")
+
+
+def watched(module: ModuleType, note: Callable[[str, tuple[Any, ...], Any], None]) -> type:
+    """The module's `Balancer` with its inner steps told to `note`, as far as it has them."""
+
+    def told(name: str) -> Callable[..., Any]:
+        plain = getattr(module.Balancer, name)
+
+        def step(self: Any, *args: Any) -> Any:
+            if name == "_draw":
+                note(name, args, None)  # before what it leads to
+                return plain(self, *args)
+            given = plain(self, *args)
+            note(name, args, given)
+            return given
+
+        return step
+
+    return type("Balancer", (module.Balancer,), {n: told(n) for n in WATCHED if hasattr(module.Balancer, n)})
+
+
+def figure(balancer: Any, server: Any, req: Any) -> str:
+    if server is None:
+        return "nobody"
+    held = balancer._figure(server, req) if hasattr(balancer, "_figure") else server.load
+    load = "no figure" if held is None else f"{held:.4f}"
+    age = f" {balancer.now - server.seen_at:.3f} s old" if server.seen_at > 0 else ""
+    return f"{server.name} ({load}{age})"
+
+
+class Watch:
+    """What the steps of one req said."""
+
+    def __init__(self, req: int) -> None:
+        self.req = req
+        self.balancer: Any = None
+        self.lines: list[str] = []
+        self.current: Any = None  # the req that is being decided on
+
+    def note(self, name: str, args: Any, given: Any) -> None:
+        first: Any = args[0] if args else None
+        if hasattr(first, "deadline"):
+            self.current = first
+        if getattr(self.current, "id", None) != self.req:
+            return
+        r, b = self.current, self.balancer
+        match name:
+            case "_draw":
+                self.lines.append("draws a pair" if not r.tried else "draws another pair")
+            case "_pick":
+                self.lines.append(f"  drew {figure(b, given, r)}")
+            case "beta":
+                self.lines.append(
+                    f"  compares with probability {given:.4f}, the older figure {args[0]:.3f} s old"
+                )
+            case "_has_room":
+                self.lines.append(f"  {first.name} {'has room' if given else 'has no room'}")
+            case "_decide":
+                pass  # what it came to is told by what follows
+            case "_send":
+                self.lines.append(f"  kept {args[1].name}, attempt {r.attempts}")
+            case "_wait":
+                self.lines.append("  nothing may be sent to now")
+            case "_give_up":
+                self.lines.append("  given up")
+
+
+def explain(source: Iterable[Item], module: ModuleType, req: int) -> Iterator[str]:
+    """A req's way, a line each; nothing where the capture does not have it."""
+    watch = Watch(req)
+    cls = watched(module, watch.note)
+    balancer: Any = None
+    began = 0.0
+    for item in source:
+        match item:
+            case State():
+                if balancer is None:
+                    balancer = state.load(module, item.held, records.settings(item.start["settings"]))
+                    balancer.__class__ = cls
+                    watch.balancer = balancer
+            case Gap(why):
+                if began:
+                    yield f"here the record has a gap: {why}"
+                balancer = None
+            case Settings():
+                if balancer is not None:
+                    balancer.adopt(item.settings)
+            case Step():
+                if balancer is None:
+                    continue
+                watch.lines, watch.current = [], None
+                did = balancer.handle(item.at, item.event)
+                mine = req in names(item.event) or any(getattr(a, "id", None) == req for a in did)
+                if not mine and not watch.lines:
+                    continue
+                began = began or item.at
+                yield f"{item.at - began:9.4f} s  {told(item.event)}"
+                yield from (f"             {line}" for line in watch.lines)
+                for a in did:
+                    if getattr(a, "id", req) == req and not isinstance(a, api.Log):
+                        yield f"             -> {told(a)}"
+
+
+def told(value: Any) -> str:
+    """An event or action in one line."""
+
+    def shown(v: Any) -> Any:
+        return v.name.lower() if isinstance(v, Enum) else round(v, 4) if isinstance(v, float) else v
+
+    fields = zip(value._fields, value, strict=True)
+    said = [f"{name}={shown(v)}" for name, v in fields if v not in (None, "", False)]
+    return f"{type(value).__name__} {' '.join(said)}"[:400]
--- /dev/null
+++ b/gradegap/capture/records.py
@@ -0,0 +1,80 @@
+"""Events, actions and settings as plain values that a file can hold, and back. No I/O.
+
+An event or an action is `[name, field, ...]`, its fields in the order of `gradegap.interface`. A reader of
+this version takes what an older one wrote as long as fields were only added at the end, with a default.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import Any, get_args
+
+import msgspec
+
+from gradegap import interface as api
+
+EVENTS: dict[str, type] = {t.__name__: t for t in get_args(api.Event)}
+ACTIONS: dict[str, type] = {t.__name__: t for t in get_args(api.Action)}
+_MAPPINGS = {"classes": api.ClassSettings, "tenants": api.TenantSettings}
+
+
+class BadRecord(ValueError):
+    """What a file holds is no record."""
+
+
+class Step(msgspec.Struct, array_like=True):
+    """One event that the module was fed, and what it did."""
+
+    seq: int
+    at: float
+    event: list[Any]
+    actions: list[list[Any]]
+
+
+class Adopted(msgspec.Struct, array_like=True):
+    """New settings, from here on."""
+
+    seq: int
+    at: float
+    settings: dict[str, Any]
+
+
+def plain(value: Any) -> list[Any]:
+    """An event or an action."""
+    return [type(value).__name__, *(dict(v) if isinstance(v, Mapping) else v for v in value)]
+
+
+def event(raw: Sequence[Any]) -> Any:
+    """`BadRecord` for what is no event of this version."""
+    return _back(raw, EVENTS)
+
+
+def action(raw: Sequence[Any]) -> Any:
+    return _back(raw, ACTIONS)
+
+
+def _back(raw: Sequence[Any], kinds: Mapping[str, type]) -> Any:
+    kind = kinds.get(raw[0]) if raw and isinstance(raw[0], str) else None
+    if kind is None:
+        raise BadRecord(f"{str(raw[:1])[:40]} is no kind that this version knows")
+    try:
+        return msgspec.convert(list(raw[1:]), kind)
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise BadRecord(f"a {raw[0]} that can't be read: {str(error)[:120]}") from None
+
+
+def plain_settings(settings: api.Settings) -> dict[str, Any]:
+    found: dict[str, Any] = msgspec.to_builtins(settings)
+    return found
+
+
+def settings(raw: Mapping[str, Any]) -> api.Settings:
+    """`BadRecord` for what can't be settings of this version."""
+    fields = {f.name for f in dataclasses.fields(api.Settings)}
+    if extra := sorted(raw.keys() - fields):
+        raise BadRecord(f"settings of a later version: {', '.join(extra)[:80]}")
+    try:
+        return msgspec.convert(dict(raw), api.Settings)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise BadRecord(f"settings that can't be read: {str(error)[:120]}") from None
--- /dev/null
+++ b/gradegap/capture/state.py
@@ -0,0 +1,154 @@
+"""The state of a `Balancer` as plain values, and a `Balancer` from them. No I/O.
+
+The module stays as it is: its objects are walked from outside, each once, so that what is one object is one
+again. Only classes that the module itself defines are made, without running any code of theirs, so a hostile
+file can name nothing else. What a module does not have, or has beyond what is stored, is one plain error.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import fields, is_dataclass
+from random import Random
+from types import ModuleType
+from typing import Any
+
+import msgspec
+
+from gradegap import interface as api
+
+LEFT_OUT = frozenset({"set", "on", "random", "out"})  # made anew from the settings, or empty between events
+MOST_OBJECTS = 1_000_000
+_VALUES: dict[str, type] = {"ClassSettings": api.ClassSettings, "TenantSettings": api.TenantSettings}
+_ENUMS: dict[str, type[enum.Enum]] = {
+    t.__name__: t
+    for t in vars(api).values()
+    if isinstance(t, type) and issubclass(t, enum.Enum) and t.__module__ == api.__name__
+}
+
+
+class BadState(ValueError):
+    """A state that does not fit the module."""
+
+
+def _names(obj: Any) -> list[str]:
+    """The names of an object's state."""
+    if is_dataclass(obj):
+        return [f.name for f in fields(obj)]
+    slots = getattr(type(obj), "__slots__", None)
+    return list(slots) if slots is not None else [n for n in vars(obj) if n not in LEFT_OUT]
+
+
+class _Dump:
+    def __init__(self, module: str) -> None:
+        self.module = module
+        self.ids: dict[int, int] = {}
+        self.queue: list[Any] = []
+
+    def ref(self, obj: Any) -> list[Any]:
+        number = self.ids.get(id(obj))
+        if number is None:
+            number = self.ids[id(obj)] = len(self.queue)
+            self.queue.append(obj)
+        return ["o", number]
+
+    def value(self, v: Any) -> Any:
+        kind = type(v)
+        if v is None or kind in (bool, int, float, str):
+            return v
+        if kind in (list, tuple, deque):
+            return [kind.__name__[0], [self.value(each) for each in v]]
+        if kind is dict:
+            return ["m", [[self.value(k), self.value(each)] for k, each in v.items()]]
+        if isinstance(v, enum.Enum) and kind.__name__ in _ENUMS:
+            return ["e", kind.__name__, v.value]
+        if kind is Random:
+            version, state, gauss = v.getstate()
+            return ["r", version, list(state), gauss]
+        if kind.__name__ in _VALUES and kind.__module__ == api.__name__:
+            return ["v", kind.__name__, msgspec.to_builtins(v)]
+        if kind.__module__ == self.module:
+            return self.ref(v)
+        raise BadState(f"the module keeps a {kind.__module__}.{kind.__name__}, which can't be stored")
+
+
+def dump(balancer: Any) -> dict[str, Any]:
+    """The state between two events. Linear in what the module holds."""
+    d = _Dump(type(balancer).__module__)
+    d.ref(balancer)
+    objects = []
+    for obj in d.queue:  # grows while it is gone through
+        values = {}
+        for name in _names(obj):
+            values[name] = d.value(getattr(obj, name))
+        objects.append([type(obj).__name__, values])
+    return {"objects": objects}
+
+
+class _Load:
+    def __init__(self, module: ModuleType, raw: Any, settings: api.Settings) -> None:
+        self.module = module
+        if not isinstance(raw, Mapping) or not isinstance(raw.get("objects"), list) or not raw["objects"]:
+            raise BadState("no state of a module")
+        if len(raw["objects"]) > MOST_OBJECTS:
+            raise BadState("more objects than a module holds")
+        self.raw = raw["objects"]
+        self.made: list[Any] = []
+        for k, each in enumerate(self.raw):
+            if not isinstance(each, list) or len(each) != 2 or not isinstance(each[1], dict):
+                raise BadState("an object without a name or fields")
+            self.made.append(self._make(each[0], k == 0, settings))
+
+    def _make(self, name: Any, first: bool, settings: api.Settings) -> Any:
+        cls = getattr(self.module, name, None) if isinstance(name, str) else None
+        if not isinstance(cls, type) or cls.__module__ != self.module.__name__:
+            raise BadState(f"the module has no {str(name)[:40]}")
+        if first != (name == "Balancer"):
+            raise BadState("one Balancer comes first")
+        return cls(settings, 0) if first else object.__new__(cls)
+
+    def value(self, v: Any) -> Any:
+        if not isinstance(v, list):
+            if v is None or isinstance(v, bool | int | float | str):
+                return v
+            raise BadState("a value of no kind")
+        match v:
+            case ["o", int(number)] if 0 <= number < len(self.made):
+                return self.made[number]
+            case ["l", list(each)]:
+                return [self.value(x) for x in each]
+            case ["t", list(each)]:
+                return tuple(self.value(x) for x in each)
+            case ["d", list(each)]:
+                return deque(self.value(x) for x in each)
+            case ["m", list(pairs)]:
+                return {self.value(k): self.value(x) for k, x in pairs}
+            case ["e", str(name), raw] if name in _ENUMS:
+                return _ENUMS[name](raw)
+            case ["r", int(version), list(state), gauss]:
+                made = Random()
+                made.setstate((version, tuple(state), gauss))
+                return made
+            case ["v", str(name), dict(raw)] if name in _VALUES:
+                return msgspec.convert(raw, _VALUES[name])
+        raise BadState(f"a value of no kind: {str(v[:1])[:40]}")
+
+
+def load(module: ModuleType, raw: Any, settings: api.Settings) -> Any:
+    """A `Balancer` of `module` in that state, under those settings; `BadState` where they don't fit."""
+    try:
+        loading = _Load(module, raw, settings)
+        for (name, values), obj in zip(loading.raw, loading.made, strict=True):
+            known, held = set(_names(obj)), set(values)
+            if known != held:
+                odd = ", ".join(sorted(known ^ held))[:80]
+                raise BadState(f"the state is of another module: {name} differs in {odd}")
+            for field, value in values.items():
+                setattr(obj, field, loading.value(value))
+    except (TypeError, ValueError, msgspec.MsgspecError, RecursionError) as error:
+        raise error if isinstance(error, BadState) else BadState(f"no state: {str(error)[:80]}") from None
+    balancer = loading.made[0]
+    balancer.random = balancer.rng.random
+    return balancer
--- a/gradegap/cli.py
+++ b/gradegap/cli.py
@@ -6,6 +6,7 @@
 
 from gradegap.app import configure_log, load_both
 from gradegap.app import serve as run_serve
+from gradegap.capture import commands as capture_commands
 from gradegap.resume import commands as resume_commands
 from gradegap.store import commands
 
@@ -16,6 +17,9 @@
 app.add_typer(commands.config, name="config")
 app.add_typer(resume_commands.keys, name="keys")
 app.add_typer(resume_commands.token, name="token")
+app.add_typer(capture_commands.capture, name="capture")
+app.command("replay")(capture_commands.replay_command)
+app.command("explain")(capture_commands.explain_command)
 
 CONFIG = typer.Option(None, help="configuration file, instead of NODE_CONFIG")
 OPERATOR = typer.Option(None, help="operator's file, instead of GRADEGAP_OPERATOR; see deploy/operator.toml")
--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -26,6 +27,7 @@
 from gradegap.store.snapshot import Snapshot
 
 if TYPE_CHECKING:
+    from gradegap.capture.recorder import Switch
     from gradegap.dnssd import DnsDirector
     from gradegap.quic.front import QuicFront
     from gradegap.store.attached import Attached
@@ -87,6 +89,7 @@
         self.late: list[asyncio.Task[None]] = []  # ports that wait for the process before to leave them
         self.snapshot = Snapshot(private_file(setup.config, "snapshot"), self.stats)
         self.resuming: Resuming | None = self._make_resuming()
+        self.capture = self._make_capture()
         self.core.out_changed = self._keep_out
         if self.operator.store is not None:
             self.core.gate = self._gate
@@ -104,6 +107,26 @@
 
         return DnsDirector(self.core, self.operator.dnssd, self.stats)
 
+    def _make_capture(self) -> Switch | None:
+        settings = self.operator.capture
+        if settings is None:
+            return None
+        from gradegap.capture.recorder import Hide, Switch
+
+        try:
+            hide = Hide(Path(settings.hide).read_bytes().strip()) if settings.hide else None
+        except OSError as error:
+            raise BadConfig(f"capture.hide: {settings.hide} can't be read: {error.strerror}") from None
+        name, seed = self.setup.config.name, self.setup.seed
+        made = Switch(settings, self.core, seed, self.stats, name, hide)
+        self.live.key("capture", settings.on, made.set)
+        return made
+
+    def toggle_capture(self) -> None:
+        """SIGUSR2: record where it did not, and the other way about."""
+        if self.capture is not None:
+            self.capture.set(not self.capture.on)
+
     def _make_resuming(self) -> Resuming | None:
         if self.operator.resume is None:
             return None
@@ -115,6 +138,8 @@
 
     async def start(self) -> None:
         config = self.setup.config
+        if self.capture is not None and self.operator.capture is not None:
+            self.capture.set(self.operator.capture.on)  # before the module is told anything
         self.live.key("log_level", "info", set_log_level)
         self.director.first = self._get_ready
         following = await self.handover.follow()
@@ -419,6 +444,8 @@
             self.quic.close()
         if self.store is not None:
             self.store.close()
+        if self.capture is not None:
+            self.capture.set(False)
         if not self.done.done():
             self.done.set_result(None)
 
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -54,11 +54,24 @@
     life_s: Annotated[int, msgspec.Meta(ge=10, le=600)] = 600  # for which a token may be used
 
 
+class CaptureSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The `[capture]` table: a record of what the module is told and does, in a ring of files."""
+
+    folder: str
+    on: bool = True  # from the start; `config/capture` of the store, or SIGUSR2, turns it on and off
+    part_mb: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 16  # MiB of one file
+    total_mb: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 256  # MiB of all
+    age_s: Annotated[int, msgspec.Meta(ge=1)] = 7 * 24 * 3600  # after which a file goes
+    state_s: Annotated[float, msgspec.Meta(ge=1.0, le=3600.0)] = 30.0  # between two states to begin at
+    hide: str = ""  # a file with a key: players' ids are recorded, and decided by, as a keyed hash
+
+
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
     quic: QuicSettings | None = None
     store: StoreSettings | None = None
     dnssd: DnsSdSettings | None = None
     resume: ResumeSettings | None = None
+    capture: CaptureSettings | None = None
 
 
 class BadOperatorFile(ValueError):
--- a/gradegap/store/schema.py
+++ b/gradegap/store/schema.py
@@ -23,6 +23,7 @@
     log_level: Annotated[LogLevel, msgspec.Meta(description="the least level that is logged")] = "info"
     quic_accept: Annotated[bool, msgspec.Meta(description="whether the QUIC front takes new sessions")] = True
     quic_max_sessions: Annotated[Count, msgspec.Meta(description="sessions over QUIC at once")] = 4000
+    capture: Annotated[bool, msgspec.Meta(description="whether nodes with [capture] record")] = True
     motd: Annotated[
         str, msgspec.Meta(max_length=200, description="a note for whoever looks at the configuration")
     ] = ""
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,513 @@
+"""Captures: files that are cut and hostile, states, replays, altered modules, and real nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+import random
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import settings as tuned
+from hypothesis import strategies as st
+
+import gradegap.choice
+from gradegap import interface as api
+from gradegap.capture import frames, records, replay, state
+from gradegap.capture.frames import BadCapture, Damage, Kind
+from gradegap.capture.recorder import Hide, Recorder, Tap
+from gradegap.choice import Balancer
+from gradegap.operator_file import CaptureSettings
+from gradegap.stats import Stats
+from tests.helpers import settings
+from tests.world import ROOT, Backend, wait_for, world
+
+
+class Day:
+    """A day of a module's life, made up: lists, arrivals, probes, deaths and drains, as seeded."""
+
+    def __init__(self, seed: int, servers: int = 8) -> None:
+        self.rng = random.Random(seed)
+        self.settings = settings(groups=True)
+        self.balancer = Balancer(self.settings, seed)
+        self.seed, self.now, self.next = seed, 1000.0, 0
+        self.steps: list[Any] = []
+        self.out: dict[int, str] = {}
+        self.standing: dict[int, str] = {}
+        self.probes: list[str] = []
+        self.timers: list[tuple[float, str]] = []
+        self.names = [f"s{k}" for k in range(servers)]
+        self.phase = dict.fromkeys(self.names, api.Phase.READY)
+        entries = tuple(api.ServerEntry(n, zone="a") for n in self.names)
+        self.feed(api.ServerList(api.ListKind.FULL, entries))
+
+    def feed(self, event: Any) -> None:
+        did = self.balancer.handle(self.now, event)
+        self.steps.append(
+            ["s", len(self.steps), self.now, records.plain(event), [records.plain(a) for a in did]]
+        )
+        for a in did:
+            match a:
+                case api.Send():
+                    self.out[a.id] = a.server
+                case api.Probe():
+                    self.probes.append(a.server)
+                case api.SetTimer():
+                    self.timers.append((self.now + a.wait, a.token))
+                case api.Move():
+                    if (server := self.standing.pop(a.id, None)) is not None:
+                        result = api.Result.CANCELLED
+                        self.feed(api.Outcome(a.id, 0, server, result, 1.0, True))
+
+    def live(self, steps: int) -> Day:
+        for _ in range(steps):
+            self.now += self.rng.expovariate(200.0)
+            due = [t for t in self.timers if t[0] <= self.now]
+            for t in due:
+                self.timers.remove(t)
+                self.feed(api.Timer(t[1]))
+            self.one()
+        return self
+
+    def one(self) -> None:
+        what = self.rng.random()
+        if what < 0.35:
+            self.next += 1
+            team = f"g{self.rng.randrange(20)}" if self.rng.random() < 0.3 else ""
+            self.feed(api.Request(self.next, "live", self.now + 2.0, "", f"k{self.next}", team))
+        elif what < 0.65 and self.out:
+            ident = self.rng.choice(list(self.out))
+            server = self.out.pop(ident)
+            if self.rng.random() < 0.9:
+                self.standing[ident] = server
+                self.feed(api.Established(ident, 0, server, 0.01))
+            else:
+                result = self.rng.choice([api.Result.RESET, api.Result.FULL, api.Result.TIMEOUT])
+                self.feed(api.Outcome(ident, 0, server, result, 0.1, False))
+        elif what < 0.85 and self.probes:
+            server = self.probes.pop(0)
+            load = len([s for s in self.standing.values() if s == server]) / 40
+            report = {"x0": load + self.rng.random() * 0.1, "inflight": load * 40}
+            good = self.rng.random() < 0.9
+            self.feed(
+                api.ProbeResult(server, api.Result.OK, 0.001, report)
+                if good
+                else api.ProbeResult(server, api.Result.TIMEOUT, 0.25)
+            )
+        elif what < 0.97 and self.standing:
+            ident = self.rng.choice(list(self.standing))
+            self.feed(api.Outcome(ident, 0, self.standing.pop(ident), api.Result.OK, 5.0, True))
+        elif what > 0.99:
+            name = self.rng.choice(self.names)
+            ready = self.phase[name] is api.Phase.READY
+            self.phase[name] = phase = api.Phase.DRAINING if ready else api.Phase.READY
+            entry = api.ServerEntry(name, zone="a", phase=phase, started_at=0.0 if ready else self.now)
+            self.feed(api.ServerList(api.ListKind.DELTA, (entry,)))
+
+    def start(self) -> bytes:
+        about = {"settings": records.plain_settings(self.settings), "seed": self.seed, "node": "n"}
+        return frames.MAGIC + frames.pack(Kind.START, about, 0, 0, 0.0, 0.0)
+
+    def state(self) -> bytes:
+        return frames.pack(Kind.STATE, state.dump(self.balancer), 0, len(self.steps), self.now, self.now)
+
+
+def taken(seed: int, steps: int = 600, parts: int = 4) -> bytes:
+    """A capture of a day, with states in between."""
+    day = Day(seed)
+    first = Balancer(day.settings, seed)
+    held = frames.pack(Kind.STATE, state.dump(first), 0, 0, 0.0, 0.0)
+    data, written = day.start() + held, 0
+    for _ in range(parts):
+        day.live(steps // parts)
+        rows = day.steps[written:]
+        data += frames.pack(Kind.STEPS, rows, len(rows), written, rows[0][2], rows[-1][2]) + day.state()
+        written = len(day.steps)
+    return data
+
+
+def again(data: bytes, module: ModuleType = gradegap.choice, since: float = -1e18) -> replay.Report:
+    return replay.replay(replay.items(data), module, since)
+
+
+def test_a_hundred_replays_give_one_digest_and_each_state_is_met() -> None:
+    data = taken(1)
+    found = again(data)
+    assert found.difference is None and not found.state_differs and not found.gaps
+    assert found.steps > 600 and found.states == 4
+    assert {again(data).digest for _ in range(100)} == {found.digest}
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_replay_that_starts_at_a_state_decides_the_same(seed: int) -> None:
+    data = taken(100 + seed)
+    clocks = [f.at for f in frames.read(data) if not isinstance(f, Damage) and f.kind is Kind.STATE]
+    for since in clocks[1:4]:
+        found = again(data, since=since)
+        assert found.difference is None and not found.state_differs and found.steps > 0
+
+
+def test_hash_order_of_another_process_changes_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "day.ggc"
+    path.write_bytes(taken(7))
+    said = set()
+    for seed in ("0", "1", "4242"):
+        line = [sys.executable, "-m", "gradegap", "replay", str(path)]
+        env = os.environ | {"PYTHONHASHSEED": seed}
+        done = subprocess.run(line, capture_output=True, text=True, cwd=ROOT, env=env, timeout=60)
+        assert done.returncode == 0, done.stderr
+        said.add(done.stdout)
+    assert len(said) == 1
+
+
+def mutant(tmp_path: Path, old: str, new: str) -> ModuleType:
+    assert gradegap.choice.__file__ is not None
+    text = Path(gradegap.choice.__file__).read_text()
+    assert text.count(old) >= 1, old
+    path = tmp_path / "other.py"
+    path.write_text(text.replace(old, new))
+    return replay.module_at(str(path))
+
+
+MUTANTS = [
+    ("FRESH = 0.5", "FRESH = 0.4"),
+    ("HOLD = 0.16", "HOLD = 0.17"),
+    ("FULL_AT = 0.9 ", "FULL_AT = 0.05 "),
+    ("BETA_SCALE = 1.0", "BETA_SCALE = 0.3"),
+    ("LOOK_FAST, LOOK_SLOW = 0.7", "LOOK_FAST, LOOK_SLOW = 0.71"),
+    ("OUT_FROM = 2", "OUT_FROM = 1"),
+    ("OUT_FIRST, OUT_MOST = 0.5", "OUT_FIRST, OUT_MOST = 0.05"),
+    ("LEAVE_TICK = 0.1", "LEAVE_TICK = 0.2"),
+    ("LEAD_FROM, LEAD_TO = 0.75", "LEAD_FROM, LEAD_TO = 0.7"),
+    ("RING_WALK = 8", "RING_WALK = 1"),
+    ("TEAM_LOADS = 8.0", "TEAM_LOADS = 0.0"),
+    ("PROBES_SAVED = 30.0", "PROBES_SAVED = 2.0"),
+    ("PROBES_PER_REQUEST = 6.0", "PROBES_PER_REQUEST = 0.1"),
+    ("FEW = 1.0", "FEW = -8.0"),
+    ("keep = a if fa < fb else b", "keep = a if fa > fb else b"),
+    ("b = self._pick(r, a) or a", "b = a"),
+    ("OWN_MEMORY = 1.0", "OWN_MEMORY = 0.2"),
+    ("timeout = left if last else", "timeout = left if True else"),
+    ("min(left, max(r.cls.aim,", "min(left, max(2 * r.cls.aim,"),
+    ("self.answering += 0.05", "self.answering += 0.5"),
+]
+
+
+def test_twenty_altered_modules_are_each_found_at_their_first_other_decision(tmp_path: Path) -> None:
+    data = taken(11, 3000, 1)
+    found_in = []
+    for k, (old, new) in enumerate(MUTANTS):
+        folder = tmp_path / str(k)
+        folder.mkdir()
+        module = mutant(folder, old, new)
+        found = again(data, module)
+        # The same by hand: both modules from the beginning, until one decides otherwise.
+        plain, other = Balancer(settings(groups=True), 11), module.Balancer(settings(groups=True), 11)
+        first = next(
+            (
+                i.seq
+                for i in replay.items(data)
+                if isinstance(i, replay.Step)
+                and replay.encoded(plain.handle(i.at, i.event)) != replay.encoded(other.handle(i.at, i.event))
+            ),
+            None,
+        )
+        named = found.difference.step.seq if found.difference is not None else None
+        assert named == first, (old, named, first)
+        if first is None:  # it decides alike, and then its state tells
+            assert found.state_differs, old
+        else:
+            assert found.difference is not None and found.difference.about
+        found_in.append(first)
+    assert sum(f is not None for f in found_in) >= 18, found_in
+
+
+# Files
+
+
+def test_a_file_cut_at_any_byte_of_a_frame_replays_what_was_whole() -> None:
+    data = taken(3, 60, 3)
+    whole = [f for f in frames.read(data) if not isinstance(f, Damage)]
+    *_, before, last = [k for k in range(len(data)) if data.startswith(frames.MARK, k)]
+    for end in range(before + 1, len(data), 7):
+        found = list(frames.read(data[:end]))
+        sound = [f for f in found if not isinstance(f, Damage)]
+        assert len(sound) == len(whole) - (2 if end < last else 1)
+        assert again(data[:end]).difference is None
+        assert [d.why for d in found if isinstance(d, Damage)] == ([] if end == last else ["cut off"])
+
+
+@tuned(max_examples=150, deadline=None)
+@given(st.data())
+def test_a_turned_bit_costs_its_frame_alone(data: st.DataObject) -> None:
+    raw = bytearray(taken(4, 60, 3))
+    k = data.draw(st.integers(len(frames.MAGIC), len(raw) - 1))
+    raw[k] ^= 1 << data.draw(st.integers(0, 7))
+    found = list(frames.read(bytes(raw)))
+    assert sum(isinstance(f, Damage) for f in found) == 1
+    assert sum(not isinstance(f, Damage) for f in found) == 7
+    report = again(bytes(raw))
+    assert report.difference is None and not report.state_differs
+
+
+@tuned(max_examples=300, deadline=None)
+@given(st.binary(max_size=400), st.booleans())
+def test_a_hostile_file_ends_in_plain_errors(raw: bytes, framed: bool) -> None:
+    data = frames.MAGIC + (frames.MARK + raw if framed else raw)
+    assert all(isinstance(f, Damage) for f in frames.read(data))
+    assert again(data).steps == 0
+
+
+def test_declared_sizes_and_bombs_take_no_memory() -> None:
+    import zlib
+
+    import zstandard
+
+    bomb = zstandard.ZstdCompressor(level=19).compress(b"\0" * (512 * 1024 * 1024))
+    for packed, plain in ((len(bomb), 2**32 - 1), (len(bomb), 100), (2**32 - 1, 100)):
+        head = frames._HEAD.pack(frames.MARK, 2, packed, plain, 1, 0, 0.0, 0.0, 0)
+        crc = zlib.crc32(bomb, zlib.crc32(head))
+        (found,) = frames.read(frames.MAGIC + head[:-4] + crc.to_bytes(4, "little") + bomb)
+        assert isinstance(found, Damage)
+
+
+def test_another_kind_of_file_and_a_later_version_are_one_plain_error() -> None:
+    with pytest.raises(BadCapture, match="no capture"):
+        list(frames.read(b"{}"))
+    with pytest.raises(BadCapture, match="version 9"):
+        list(frames.read(b"gradegap capture 9\nxyz"))
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        {},
+        {"objects": []},
+        {"objects": [["Balancer", {}], ["Popen", {}]]},
+        {"objects": [["_Server", {}]]},
+        {"objects": [["Balancer", {"now": ["o", 99]}]]},
+        {"objects": [["Balancer", {"now": ["r", 3, [1], None]}]]},
+    ],
+)
+def test_a_state_that_is_none_is_refused(raw: Any) -> None:
+    with pytest.raises(state.BadState):
+        state.load(gradegap.choice, raw, settings())
+
+
+@pytest.mark.parametrize(
+    "value", [math.inf, -math.inf, math.nan, 5e-324, 1.7976931348623157e308, 0.1 + 0.2, -0.0]
+)
+def test_floats_at_the_edges_come_back_as_they_were(value: float) -> None:
+    event = api.ProbeResult("s", api.Result.OK, value, {"x0": value})
+    frame = frames.pack(Kind.STEPS, [["s", 0, 1.0, records.plain(event), []]], 1)
+    (read,) = frames.read(frames.MAGIC + frame)
+    assert not isinstance(read, Damage)
+    back = records.event(read.body[0][3])
+    assert msgspec.msgpack.encode(records.plain(back)) == msgspec.msgpack.encode(records.plain(event))
+
+
+def test_every_kind_of_event_and_action_comes_back() -> None:
+    request = api.Request(1, "live", 2.0, "t", "k", "g", 0.5, True, False, True)
+    for event in (
+        api.ServerList(
+            api.ListKind.DELTA, (api.ServerEntry("s", "z", 1, api.Phase.DRAINING, 2.0, 3.0, 4.0),)
+        ),
+        request,
+        api.Inherited(request, "s"),
+        api.Established(1, 0, "s", 0.1),
+        api.Note(1, "s", None, 0.2),
+        api.Outcome(1, 0, "s", api.Result.RESET, 0.1, True, {"x0": 1.0}),
+        api.ClientGone(1),
+        api.Timer("look"),
+        api.ProbeResult("s", api.Result.OK, 0.1, None),
+        api.Leaving(3.0),
+        api.Returned(),
+    ):
+        raw = msgspec.msgpack.decode(msgspec.msgpack.encode(records.plain(event)))
+        assert records.event(raw) == event and type(records.event(raw)) is type(event)
+    for action in (
+        api.Send(1, "s", 0.5),
+        api.Refuse(1, 0.3),
+        api.Move(2),
+        api.SetTimer(0.1, "h1"),
+        api.WatchList(),
+    ):
+        raw = msgspec.msgpack.decode(msgspec.msgpack.encode(records.plain(action)))
+        assert records.action(raw) == action
+    with pytest.raises(records.BadRecord):
+        records.event(["Send", 1, "s", 0.5])
+
+
+# The recorder
+
+
+def recorded(folder: Path, day: Day, slow: bool = False, **changes: Any) -> Stats:
+    """A day under a recorder; `slow`: a disk that takes 50 ms a write."""
+    stats = Stats()
+
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        set_up = CaptureSettings(str(folder), state_s=1.0, **changes)
+        made = Recorder(set_up, day.balancer, day.settings, day.seed, stats, loop, lambda: day.now, "n")
+        if slow:
+            put = made._put
+
+            def late(data: bytes) -> None:
+                import time
+
+                time.sleep(0.05)
+                put(data)
+
+            made._put = late  # type: ignore[method-assign]
+        day.balancer = Tap(day.balancer, made)  # type: ignore[assignment]
+        made.begin()
+        for _ in range(60):
+            day.live(300)
+            await asyncio.sleep(0)
+        if slow:
+            while made.under_way:
+                await asyncio.sleep(0.01)
+            made._tick()
+            day.live(300)
+        made.close()
+        while made.file is not None or made.under_way:
+            await asyncio.sleep(0.01)
+
+    asyncio.run(main())
+    return stats
+
+
+def test_a_recording_replays_to_the_same_decisions(tmp_path: Path) -> None:
+    stats = recorded(tmp_path, Day(5))
+    (path,) = tmp_path.iterdir()
+    found = again(path.read_bytes())
+    assert found.difference is None and not found.gaps and found.steps > 15_000
+    assert "capture_dropped" not in stats.counts
+
+
+def test_a_slow_disk_costs_whole_batches_marked_as_gaps_and_no_decision(tmp_path: Path) -> None:
+    stats = recorded(tmp_path, Day(6), slow=True)
+    (path,) = tmp_path.iterdir()
+    found = again(path.read_bytes())
+    read = [f for f in frames.read(path.read_bytes()) if not isinstance(f, Damage)]
+    assert sum(f.records for f in read if f.kind is Kind.GAP) == stats.counts["capture_dropped"] > 512
+    assert found.gaps and found.difference is None and not found.state_differs and found.steps > 0
+
+
+def test_a_full_disk_ends_the_recording_alone(tmp_path: Path) -> None:
+    day = Day(8)
+    before = Recorder._put
+
+    def full(self: Recorder, data: bytes) -> None:
+        if self.size > 2000:
+            raise OSError(28, "No space left on device")
+        before(self, data)
+
+    Recorder._put = full  # type: ignore[method-assign]
+    try:
+        stats = recorded(tmp_path, day)
+    finally:
+        Recorder._put = before  # type: ignore[method-assign]
+    assert stats.counts["capture_failed"] == 1 and len(day.steps) > 15_000
+
+
+def test_the_ring_keeps_its_limits(tmp_path: Path) -> None:
+    for k in range(4):
+        (tmp_path / f"{k}-old.ggc").write_bytes(b"x" * 700_000)
+    recorded(tmp_path, Day(9), total_mb=1, part_mb=1)
+    left = sorted(p.name for p in tmp_path.iterdir())
+    assert len(left) == 2 and left[-1].startswith("0") or "3-old.ggc" in left
+
+
+def test_hidden_ids_are_decided_by_and_say_nothing() -> None:
+    hide = Hide(b"0123456789abcdef")
+    one = hide.event(api.Request(1, "live", 2.0, key="player-17", team="guild"))
+    assert "player" not in str(one) and "guild" not in str(one)
+    assert hide.event(api.Request(2, "live", 2.0, team="guild")).team == one.team
+    assert Hide(b"another key of it").word("guild") != one.team
+
+
+# A real node
+
+
+@pytest.fixture
+def day(tmp_path: Path) -> Iterator[tuple[Path, Path]]:
+    folder = tmp_path / "captures"
+    servers = [Backend(n) for n in "abc"]
+    operator = f'[capture]\nfolder = "{folder}"\nstate_s = 1.0\n'
+    with world(tmp_path, servers, operator) as w:
+        clients = [w.client() for _ in range(12)]
+        for c in clients:
+            assert c.ask().startswith("UP")
+        w.director.tell(servers[0], state="Terminating")
+        settings_now = w.config.read_text()
+        w.config.write_text(settings_now.replace('"MaxAttempts": 4', '"MaxAttempts": 3'))
+        w.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: w.counters().get("reloads") == "1")
+        for _ in range(10):
+            assert w.client().ask().startswith("UP")
+        w.process.send_signal(signal.SIGUSR2)
+        wait_for(lambda: w.counters()["capture_on"] == "0")
+        assert w.client().ask().startswith("UP")
+        w.process.send_signal(signal.SIGUSR2)
+        wait_for(lambda: w.counters()["capture_on"] == "1")
+        assert w.client().ask().startswith("UP")
+        wait_for(lambda: len(list(folder.iterdir())) == 2)
+        second = max(folder.iterdir())
+        wait_for(lambda: any(isinstance(i, replay.Step) for i in replay.items(second.read_bytes())))
+        w.process.kill()  # while it writes
+        w.process.wait()
+        w.process.returncode = 0
+    first, second = sorted(folder.iterdir())
+    yield first, second
+
+
+def cli(*words: str) -> subprocess.CompletedProcess[str]:
+    line = [sys.executable, "-m", "gradegap", *words]
+    return subprocess.run(line, capture_output=True, text=True, cwd=ROOT, timeout=60)
+
+
+def test_a_node_s_day_is_replayed_cut_and_explained(day: tuple[Path, Path], tmp_path: Path) -> None:
+    first, _ = day
+    for path in day:
+        done = cli("replay", str(path))
+        assert done.returncode == 0, done.stdout + done.stderr
+    info = msgspec.json.decode(cli("capture", "info", str(first), "--json").stdout)
+    assert info["events"]["Request"] == 22 and not info["gaps"] and info["node"] == "n0"
+    lines = cli("capture", "filter", str(first), "--kind", "Request").stdout.splitlines()
+    assert len(lines) == 22
+    last = msgspec.json.decode(lines[-1])
+    said = cli("explain", str(first), str(last["event"][1])).stdout
+    assert "draws a pair" in said and "kept s-" in said and "-> Send" in said and "Established" in said
+    assert cli("explain", str(first), "999").returncode == 1
+    part = tmp_path / "part.ggc"
+    assert cli("capture", "cut", str(first), "--out", str(part), "--from", "0.5").returncode == 0
+    assert cli("replay", str(part)).returncode == 0
+    assert cli("capture", "cut", str(first), "--out", str(part)).returncode == 2  # it is there
+    merged = cli(
+        "capture", "merge", str(first), str(first), "--shift", "0", "--shift", "5"
+    ).stdout.splitlines()
+    clocks = [msgspec.json.decode(line)["at"] for line in merged]
+    assert clocks == sorted(clocks) and len(clocks) == 2 * info["steps"]
+    other = tmp_path / "other.py"
+    assert gradegap.choice.__file__ is not None
+    text = Path(gradegap.choice.__file__).read_text()
+    other.write_text(text.replace("HOLD = 0.16", "HOLD = 0.17"))
+    done = cli("replay", str(first), "--module", str(other))
+    assert done.returncode == 1 and "differs: Request" in done.stdout and "SetTimer" in done.stdout
+
+
+def test_what_is_no_capture_is_one_line(tmp_path: Path) -> None:
+    (tmp_path / "x").write_text("hello")
+    for words in (("replay", "x"), ("capture", "info", "x"), ("explain", "x", "1"), ("replay", "nowhere")):
+        done = cli(*(str(tmp_path / w) if w in ("x", "nowhere") else w for w in words))
+        assert done.returncode == 2 and done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
