--- a/bench/capture.py
+++ b/bench/capture.py
@@ -19,9 +19,9 @@
 from typing import Any
 
 import gradegap.choice
-from gradegap import interface as api
 from bench.resume import resident
 from bench.store import cpu
+from gradegap import interface as api
 from gradegap.capture import records, replay, state
 from gradegap.capture.recorder import Recorder, Tap
 from gradegap.choice import Balancer
