--- a/gradegap/capture/records.py
+++ b/gradegap/capture/records.py
@@ -1,6 +1,6 @@
 """Events, actions and settings as plain values that a file can hold, and back. No I/O.
 
-An event or an action is `[name, field, ...]`, its fields in the order of `gradegap.interface`. A reader of
+An event or an action is `[name, [field, ...]]`, its fields in the order of `gradegap.interface`. A reader of
 this version takes what an older one wrote as long as fields were only added at the end, with a default.
 """
 
@@ -23,26 +23,9 @@
     """What a file holds is no record."""
 
 
-class Step(msgspec.Struct, array_like=True):
-    """One event that the module was fed, and what it did."""
-
-    seq: int
-    at: float
-    event: list[Any]
-    actions: list[list[Any]]
-
-
-class Adopted(msgspec.Struct, array_like=True):
-    """New settings, from here on."""
-
-    seq: int
-    at: float
-    settings: dict[str, Any]
-
-
-def plain(value: Any) -> list[Any]:
-    """An event or an action."""
-    return [type(value).__name__, *(dict(v) if isinstance(v, Mapping) else v for v in value)]
+def plain(value: Any) -> tuple[str, Any]:
+    """An event or an action; its encoder writes a named tuple as its fields."""
+    return type(value).__name__, value
 
 
 def event(raw: Sequence[Any]) -> Any:
@@ -55,11 +38,11 @@
 
 
 def _back(raw: Sequence[Any], kinds: Mapping[str, type]) -> Any:
-    kind = kinds.get(raw[0]) if raw and isinstance(raw[0], str) else None
+    kind = kinds.get(raw[0]) if len(raw) == 2 and isinstance(raw[0], str) else None
     if kind is None:
         raise BadRecord(f"{str(raw[:1])[:40]} is no kind that this version knows")
     try:
-        return msgspec.convert(list(raw[1:]), kind)
+        return msgspec.convert(raw[1], kind)
     except (msgspec.ValidationError, RecursionError) as error:
         raise BadRecord(f"a {raw[0]} that can't be read: {str(error)[:120]}") from None
 
--- a/gradegap/capture/state.py
+++ b/gradegap/capture/state.py
@@ -9,8 +9,9 @@
 
 import enum
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import fields, is_dataclass
+from operator import attrgetter
 from random import Random
 from types import ModuleType
 from typing import Any
@@ -21,12 +22,14 @@
 
 LEFT_OUT = frozenset({"set", "on", "random", "out"})  # made anew from the settings, or empty between events
 MOST_OBJECTS = 1_000_000
+PLAIN = frozenset({type(None), bool, int, float, str})
 _VALUES: dict[str, type] = {"ClassSettings": api.ClassSettings, "TenantSettings": api.TenantSettings}
 _ENUMS: dict[str, type[enum.Enum]] = {
     t.__name__: t
     for t in vars(api).values()
     if isinstance(t, type) and issubclass(t, enum.Enum) and t.__module__ == api.__name__
 }
+_VALUE_KINDS, _ENUM_KINDS = frozenset(_VALUES.values()), frozenset(_ENUMS.values())
 
 
 class BadState(ValueError):
@@ -45,32 +48,37 @@
     def __init__(self, module: str) -> None:
         self.module = module
         self.ids: dict[int, int] = {}
+        self.values: dict[Any, int] = {}
         self.queue: list[Any] = []
 
     def ref(self, obj: Any) -> list[Any]:
         number = self.ids.get(id(obj))
-        if number is None:
+        if number is None and type(obj).__module__ == api.__name__:
+            # Values are one wherever they are equal: what is made anew from settings is not the same object.
+            number = self.ids[id(obj)] = self.values.setdefault(obj, len(self.queue))
+            if number == len(self.queue):
+                self.queue.append(obj)
+        elif number is None:
             number = self.ids[id(obj)] = len(self.queue)
             self.queue.append(obj)
         return ["o", number]
 
     def value(self, v: Any) -> Any:
         kind = type(v)
-        if v is None or kind in (bool, int, float, str):
+        if kind in PLAIN:
             return v
         if kind in (list, tuple, deque):
-            return [kind.__name__[0], [self.value(each) for each in v]]
+            return [kind.__name__[0], [x if type(x) in PLAIN else self.value(x) for x in v]]
         if kind is dict:
-            return ["m", [[self.value(k), self.value(each)] for k, each in v.items()]]
-        if isinstance(v, enum.Enum) and kind.__name__ in _ENUMS:
+            value = self.value
+            return ["m", [[value(k), x if type(x) in PLAIN else value(x)] for k, x in v.items()]]
+        if kind.__module__ == self.module or kind in _VALUE_KINDS:
+            return self.ref(v)
+        if kind in _ENUM_KINDS:
             return ["e", kind.__name__, v.value]
         if kind is Random:
             version, state, gauss = v.getstate()
             return ["r", version, list(state), gauss]
-        if kind.__name__ in _VALUES and kind.__module__ == api.__name__:
-            return ["v", kind.__name__, msgspec.to_builtins(v)]
-        if kind.__module__ == self.module:
-            return self.ref(v)
         raise BadState(f"the module keeps a {kind.__module__}.{kind.__name__}, which can't be stored")
 
 
@@ -78,13 +86,20 @@
     """The state between two events. Linear in what the module holds."""
     d = _Dump(type(balancer).__module__)
     d.ref(balancer)
-    objects = []
+    objects: list[Any] = []
+    names: dict[str, list[str]] = {}
+    getters: dict[type, Callable[[Any], tuple[Any, ...]]] = {}
     for obj in d.queue:  # grows while it is gone through
-        values = {}
-        for name in _names(obj):
-            values[name] = d.value(getattr(obj, name))
-        objects.append([type(obj).__name__, values])
-    return {"objects": objects}
+        kind = type(obj)
+        if kind.__module__ == api.__name__:
+            objects.append([kind.__name__, msgspec.to_builtins(obj)])
+            continue
+        if kind not in getters:
+            held = names[kind.__name__] = _names(obj)
+            getters[kind] = attrgetter(*held)
+        values = [v if type(v) in PLAIN else d.value(v) for v in getters[kind](obj)]
+        objects.append([kind.__name__, values])
+    return {"names": names, "objects": objects}
 
 
 class _Load:
@@ -97,14 +112,17 @@
         self.raw = raw["objects"]
         self.made: list[Any] = []
         for k, each in enumerate(self.raw):
-            if not isinstance(each, list) or len(each) != 2 or not isinstance(each[1], dict):
+            if not isinstance(each, list) or len(each) != 2 or not isinstance(each[0], str):
                 raise BadState("an object without a name or fields")
-            self.made.append(self._make(each[0], k == 0, settings))
+            if each[0] in _VALUES:
+                self.made.append(msgspec.convert(each[1], _VALUES[each[0]]))
+            else:
+                self.made.append(self._make(each[0], k == 0, settings))
 
-    def _make(self, name: Any, first: bool, settings: api.Settings) -> Any:
-        cls = getattr(self.module, name, None) if isinstance(name, str) else None
+    def _make(self, name: str, first: bool, settings: api.Settings) -> Any:
+        cls = getattr(self.module, name, None)
         if not isinstance(cls, type) or cls.__module__ != self.module.__name__:
-            raise BadState(f"the module has no {str(name)[:40]}")
+            raise BadState(f"the module has no {name[:40]}")
         if first != (name == "Balancer"):
             raise BadState("one Balancer comes first")
         return cls(settings, 0) if first else object.__new__(cls)
@@ -131,8 +149,6 @@
                 made = Random()
                 made.setstate((version, tuple(state), gauss))
                 return made
-            case ["v", str(name), dict(raw)] if name in _VALUES:
-                return msgspec.convert(raw, _VALUES[name])
         raise BadState(f"a value of no kind: {str(v[:1])[:40]}")
 
 
@@ -141,11 +157,13 @@
     try:
         loading = _Load(module, raw, settings)
         for (name, values), obj in zip(loading.raw, loading.made, strict=True):
-            known, held = set(_names(obj)), set(values)
-            if known != held:
-                odd = ", ".join(sorted(known ^ held))[:80]
+            if name in _VALUES:
+                continue
+            held = raw.get("names", {}).get(name, ())
+            if set(_names(obj)) != set(held):
+                odd = ", ".join(sorted(set(_names(obj)) ^ set(held)))[:80]
                 raise BadState(f"the state is of another module: {name} differs in {odd}")
-            for field, value in values.items():
+            for field, value in zip(held, values, strict=True):
                 setattr(obj, field, loading.value(value))
     except (TypeError, ValueError, msgspec.MsgspecError, RecursionError) as error:
         raise error if isinstance(error, BadState) else BadState(f"no state: {str(error)[:80]}") from None
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -292,10 +292,11 @@
     [
         {},
         {"objects": []},
-        {"objects": [["Balancer", {}], ["Popen", {}]]},
-        {"objects": [["_Server", {}]]},
-        {"objects": [["Balancer", {"now": ["o", 99]}]]},
-        {"objects": [["Balancer", {"now": ["r", 3, [1], None]}]]},
+        {"objects": [["Balancer", []], ["Popen", []]]},
+        {"objects": [["_Server", []]]},
+        {"names": {"Balancer": ["now"]}, "objects": [["Balancer", [["o", 99]]]]},
+        {"names": {"Balancer": ["now"]}, "objects": [["Balancer", [["r", 3, [1], None]]]]},
+        {"names": 5, "objects": [["Balancer", [1]], ["ClassSettings", 3]]},
     ],
 )
 def test_a_state_that_is_none_is_refused(raw: Any) -> None:
@@ -344,7 +345,7 @@
         raw = msgspec.msgpack.decode(msgspec.msgpack.encode(records.plain(action)))
         assert records.action(raw) == action
     with pytest.raises(records.BadRecord):
-        records.event(["Send", 1, "s", 0.5])
+        records.event(["Send", [1, "s", 0.5]])
 
 
 # The recorder
@@ -486,7 +487,7 @@
     lines = cli("capture", "filter", str(first), "--kind", "Request").stdout.splitlines()
     assert len(lines) == 22
     last = msgspec.json.decode(lines[-1])
-    said = cli("explain", str(first), str(last["event"][1])).stdout
+    said = cli("explain", str(first), str(last["event"][1][0])).stdout
     assert "draws a pair" in said and "kept s-" in said and "-> Send" in said and "Established" in said
     assert cli("explain", str(first), "999").returncode == 1
     part = tmp_path / "part.ggc"
