Capture: compare two files step by step, and take players' ids out of one

Two captures are held against each other by step numbers: the first that is told or decided otherwise is shown. Redaction puts a keyed hash in the place of keys, groups and tenants, in steps and states, and says where the result replays no more, as groups are placed by their names. Tests: a step altered by hand is named; no id is left in a redacted file, and one without groups replays to its states.

--- a/gradegap/capture/commands.py
+++ b/gradegap/capture/commands.py
@@ -20,6 +20,7 @@
 FILE = typer.Argument(..., help="a capture")
 FILES = typer.Argument(..., help="captures of several nodes")
 SHIFT = typer.Option([], "--shift", help="seconds that a file's clock is behind, one for each file")
+KEY = typer.Option(..., "--key", help="a file with the key of the hash")
 KINDS = typer.Option([], "--kind", help="kinds of events: Request, Outcome, ...")
 OUT = typer.Option(..., "--out", help="the file to write; it must not be there")
 
@@ -165,6 +166,26 @@
             )
 
 
+@capture.command()
+def redact(file: str = FILE, out: str = OUT, key: str = KEY) -> None:
+    """The same capture with a keyed hash for each id that names a player; says whether it still replays."""
+    from gradegap.capture.recorder import Hide
+    from gradegap.capture.redact import redact as redacted
+
+    try:
+        hide = Hide(Path(key).read_bytes().strip())
+    except OSError as error:
+        raise stop(f"{key} can't be read: {error.strerror}") from None
+    try:
+        data = redacted(whole(file), hide.word)
+    except (records.BadRecord, KeyError, TypeError, ValueError) as error:
+        raise stop(f"it can't be redacted: {error}") from None
+    write(out, data)
+    found = replay.replay(replay.items(data), _module(None))
+    if found.difference is not None or found.state_differs:
+        typer.echo("it explains, and replays no more: this node placed groups by their names")
+
+
 @capture.command()
 def merge(files: list[str] = FILES, shift: list[float] = SHIFT) -> None:
     """Steps of several nodes as JSON lines in the order of their clocks; `--shift` S for each file adds S
@@ -195,11 +216,15 @@
 def replay_command(
     file: str = FILE,
     module: str | None = typer.Option(None, "--module", help="another version of the policy file"),
+    against: str | None = typer.Option(None, "--against", help="another capture of the same events"),
     since: float = typer.Option(-1e18, "--from", help="clock of the state to begin at, at the latest"),
     until_differs: bool = typer.Option(True, help="stop at the first decision that differs"),
     json: bool = typer.Option(False, "--json"),
 ) -> None:
     """The same decisions again. Exits 0 where all are, 1 at one that differs."""
+    if against is not None:
+        _against(file, against)
+        return
     made = _module(module)
     try:
         found = replay.replay(replay.items(whole(file)), made, since, until_differs)
@@ -241,6 +266,22 @@
         raise stop("nothing could be replayed", 1)
 
 
+def _against(file: str, other: str) -> None:
+    found = replay.compare(replay.items(whole(file)), replay.items(whole(other)))
+    typer.echo(f"{found.steps} steps compared")
+    for gap in found.gaps:
+        typer.echo(f"gap: {gap}")
+    if found.first is not None:
+        a, b = found.first
+        what = "is told otherwise" if found.event else "decides otherwise"
+        typer.echo(f"step {a.seq} at {a.at:.6f} {what}")
+        for path, step in ((file, a), (other, b)):
+            did = "; ".join(explaining.told(x) for x in step.actions) or "nothing"
+            typer.echo(f"  {path}: {explaining.told(step.event)} -> {did}")
+    if found.first is not None or not found.steps:
+        raise typer.Exit(1)
+
+
 def explain_command(file: str = FILE, req: int = typer.Argument(...)) -> None:
     """Why a req went where it went."""
     try:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -25,6 +25,7 @@
 from gradegap.capture import frames, records, replay, state
 from gradegap.capture.frames import BadCapture, Damage, Kind
 from gradegap.capture.recorder import Hide, Recorder, Tap
+from gradegap.capture.redact import redact
 from gradegap.choice import Balancer
 from gradegap.operator_file import CaptureSettings
 from gradegap.stats import Stats
@@ -35,9 +36,9 @@
 class Day:
     """A day of a module's life, made up: lists, arrivals, probes, deaths and drains, as seeded."""
 
-    def __init__(self, seed: int, servers: int = 8) -> None:
+    def __init__(self, seed: int, servers: int = 8, groups: bool = True) -> None:
         self.rng = random.Random(seed)
-        self.settings = settings(groups=True)
+        self.settings = settings(groups=groups)
         self.balancer = Balancer(self.settings, seed)
         self.seed, self.now, self.next = seed, 1000.0, 0
         self.steps: list[Any] = []
@@ -348,6 +349,38 @@
         records.event(["Send", [1, "s", 0.5]])
 
 
+def test_two_captures_are_compared_step_by_step() -> None:
+    one, other = taken(12, 200, 2), taken(13, 200, 2)
+    same = replay.compare(replay.items(one), replay.items(one))
+    assert same.first is None and same.steps > 200 and not same.gaps
+    told = replay.compare(replay.items(one), replay.items(other))
+    assert told.first is not None and told.event
+    day = Day(12).live(100)
+    rows = list(day.steps)
+    k = next(k for k in range(40, len(rows)) if rows[k][4])
+    rows[k] = [*rows[k][:4], []]
+    plain = day.start() + frames.pack(Kind.STEPS, day.steps, len(rows), 0)
+    changed = day.start() + frames.pack(Kind.STEPS, rows, len(rows), 0)
+    did = replay.compare(replay.items(plain), replay.items(changed))
+    assert did.first is not None and not did.event and did.first[0].seq == k
+
+
+@pytest.mark.parametrize("groups", [False, True])
+def test_a_redacted_capture_names_nobody_and_replays_where_names_place_nothing(groups: bool) -> None:
+    day = Day(14, groups=groups)
+    held = day.state()
+    day.live(400)
+    data = day.start() + held + frames.pack(Kind.STEPS, day.steps[1:], len(day.steps) - 1, 1) + day.state()
+    hidden = redact(data, Hide(b"0123456789abcdef").word)
+    shown = msgspec.msgpack.encode([f.body for f in frames.read(hidden) if not isinstance(f, Damage)])
+    for word in ("k17", "k40", "g1", "g7"):
+        assert msgspec.msgpack.encode(word) not in shown
+    assert again(data).difference is None and not again(data).state_differs
+    if not groups:
+        found = again(hidden)
+        assert found.difference is None and not found.state_differs and found.steps > 400
+
+
 # The recorder
 
 
