A leader asked to remove itself says that it is done, and not that nobody knows

Found by the tests with all cores kept busy: the command exited 3 where it had been committed. That it is removed says that the removal is committed, so the answer is yes; a member whose disk failed, which ends the same way, still says unknown.

--- a/gradegap/store/service.py
+++ b/gradegap/store/service.py
@@ -182,8 +182,13 @@
         elif isinstance(p.wish, wire.Get | wire.List) and p.wish.stale:
             self._answer(p, self._read(p.wish))
         elif raft is None or m.removed:
-            if m.removed and self._doubtful(p):
-                text = "unknown: this member was removed with it under way; it may be committed or not"
+            asked_to_go = p.taken and p.wish == wire.RemoveMember(m.settings.name)
+            if m.removed and asked_to_go and raft is not None:
+                # What was asked is what ended this member: it is committed, or it would not be removed. (One
+                # whose disk failed has no core any more, and can't say so.)
+                self._answer(p, wire.Answer(0))
+            elif m.removed and self._doubtful(p):
+                text = "unknown: this member has ended with it under way; it may be committed or not"
                 self._answer(p, wire.Answer(0, "unknown", text))
             elif m.removed:
                 self._answer(p, wire.Answer(0, "no", "removed: this member belongs to no cluster"))
--- a/tests/test_store_service.py
+++ b/tests/test_store_service.py
@@ -23,6 +23,7 @@
         machine=Machine(),
         raft=raft,
         granter=None,
+        settings=SimpleNamespace(name="n1"),
         removed=False,
         thread=cast(ThreadPoolExecutor, None),
         log_clock=lambda: 1,
@@ -31,6 +32,8 @@
         flush=lambda: None,
     )
     raft.read = lambda now, serial: None
+    raft.config = SimpleNamespace(named=lambda name: SimpleNamespace(id=name))
+    raft.remove = lambda now, member: 7
     return Service(cast(Any, member)), member
 
 
@@ -45,10 +48,33 @@
     s.tick(time.monotonic())
     s.request(wire.Write((Op("b", 1),)), told.append)
     assert [a.outcome for a in told] == ["unknown", "no", "no"]
-    assert told[0].text.startswith("unknown: this member was removed")
+    assert told[0].text.startswith("unknown: this member has ended")
     assert not s.pending
 
 
+def test_a_leader_that_removed_itself_says_that_it_is_done() -> None:
+    """It steps down before it has applied its removal; that was a "no", or unknown, now and then."""
+    s, member = service()
+    told: list[wire.Answer] = []
+    s.request(wire.RemoveMember("n1"), told.append)
+    s.request(wire.RemoveMember("n2"), told.append)
+    member.removed, member.raft.leads = True, False
+    s.lost_leader()
+    s.tick(time.monotonic())
+    s.request(wire.RemoveMember("n1"), told.append)
+    assert [a.outcome for a in told] == ["ok", "unknown", "no"]
+
+
+def test_a_leader_whose_disk_failed_does_not_take_that_for_its_removal() -> None:
+    s, member = service()
+    told: list[wire.Answer] = []
+    s.request(wire.RemoveMember("n1"), told.append)
+    member.removed, member.raft = True, None
+    s.lost_leader()
+    s.tick(time.monotonic())
+    assert [a.outcome for a in told] == ["unknown"]
+
+
 def test_what_is_under_way_when_a_member_ends_is_unknown_only_where_it_writes() -> None:
     s, _ = service()
     told: list[wire.Answer] = []
