A move in place that its node does not live to tell of leaves the client a way back

The hang itself was the client library's: wait_for loses a cancellation that comes together with the result, and close waited for ever; asyncio.timeout does not.

--- a/gradegap/client.py
+++ b/gradegap/client.py
@@ -54,7 +54,7 @@
         self.answers: dict[int, asyncio.Future[bytes]] = {}
         self.room = asyncio.Event()
         self.token = ""
-        self.retry = ""  # by which a node knows that a next try is this client's
+        self.retry = secrets.token_hex(16)  # by which a node knows that a next try is this client's
         self.receipt = ""
         self.returns = 0
         self.over: SessionOver | None = None
@@ -124,12 +124,13 @@
         """To any node; `SessionOver` where one says that it can't go on, or time is up."""
         loop = asyncio.get_running_loop()
         end, pause = loop.time() + self.give_up, AGAIN[0]
-        self.retry = secrets.token_hex(16)
         why = "no node could be reached"
         while loop.time() < end:
             node = random.choice(self.nodes)
             try:
-                why = await asyncio.wait_for(self._try(node), self.wait + CONNECT_WAIT)
+                # Not wait_for, which loses a cancellation that comes with the answer: `close` then waited on.
+                async with asyncio.timeout(self.wait + CONNECT_WAIT):
+                    why = await self._try(node)
                 if not why:
                     return
                 if why.startswith("BUSY ") and why[5:].isdecimal():
@@ -146,10 +147,10 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         good = False
         try:
-            fields = f"c={self.cls},d={round(self.wait * 1000)},rs=1"
+            fields = f"c={self.cls},d={round(self.wait * 1000)},rs=1,ra={self.retry}"
             fields += f",g={self.group}" if self.group else ""
             if self.token:
-                fields += f",again=1,rh={self.window.seen},rt={self.token},ra={self.retry}"
+                fields += f",again=1,rh={self.window.seen},rt={self.token}"
             writer.write(f"OPEN {secrets.token_hex(8)} {self.key} {fields}\r\n".encode())
             said = (await reader.readuntil(b"\n")).decode().rstrip("\r\n")
             word, _, rest = said.partition(" ")
--- a/gradegap/resume/move.py
+++ b/gradegap/resume/move.py
@@ -33,6 +33,7 @@
     seen: int
     client: str
     cls: str
+    by: str = ""  # a digest of the client's secret, by which it may come back for a life it never heard of
     position: int = -1  # answers that had passed when it was last moved in place
     fruitless: int = 0  # moves since, with no answer in between
 
--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -165,7 +165,7 @@
             if ring.sealing is None or seen != "0":
                 self.stats.count("resume_not_offered")
                 return False  # plain lines, as the server does without the node's word
-            made = Offer(secrets.token_hex(8), 1, 0, opening.ask.key, opening.ask.cls)
+            made = Offer(secrets.token_hex(8), 1, 0, opening.ask.key, opening.ask.cls, by)
             self._go_on(session, head, values, made, 0.0)
             return True
         session.opening = opening
@@ -184,7 +184,7 @@
         except BadToken as error:
             self._turn(session, token, error)
             return True
-        offer = Offer(place.session, place.epoch + 1, int(seen), place.client, place.cls)
+        offer = Offer(place.session, place.epoch + 1, int(seen), place.client, place.cls, by)
         self._claim(session, head, values, offer, place, token, by)
         return True
 
@@ -369,7 +369,10 @@
                 session.say_move()
 
         # Later: the core first ends what it has of the server that is left.
-        self.loop.call_soon(self._next_life, place, WAIT, won, lambda error: lost(str(error)), lost)
+        # The client's secret goes into the claim: if this node ends before it has told of the new life, the
+        # token of the old one must still bring its client back.
+        claimed = lambda error: lost(str(error))  # noqa: E731
+        self.loop.call_soon(self._next_life, place, WAIT, won, claimed, lost, offer.by)
         return True
 
     def _accepts(self, offer: Offer) -> Callable[[bytes], int | None]:
--- a/tests/test_resume_parts.py
+++ b/tests/test_resume_parts.py
@@ -242,6 +242,12 @@
             claims.claim(PLACE, 21.0, by)
     with pytest.raises(Claimed):
         claims.claim(PLACE, 20.0 + RETRY + SKEW + 1, mine)  # too late: it may be somebody who saw it pass
+    # A node claimed the next life in place, with the secret of its session, and ended before it told of it.
+    moved = LocalClaims()
+    assert moved.claim(PLACE, 0.0, mine) == 4
+    with pytest.raises(Claimed):
+        moved.claim(PLACE, 1.0, other)
+    assert moved.claim(PLACE, 1.0, mine) == 5
     latest = msgspec.structs.replace(PLACE, epoch=6)
     assert claims.claim(latest, 30.0) == 7  # in place, or at its next return
     with pytest.raises(Claimed):
