Read again: one line of JSON for a step, one place for a claim's secret, less asked twice

On reading the whole change: filter and merge each put a step's line together; a claim was handed its client's secret beside the offer that holds it; the look for due tokens asked twice whether a key seals; the node looked the capture's settings up where its switch has them.

--- a/gradegap/capture/commands.py
+++ b/gradegap/capture/commands.py
@@ -155,15 +155,19 @@
     _lines(file, lambda step: True)
 
 
+def _line(step: replay.Step, at: float, **more: str) -> bytes:
+    """A step as a line of JSON, with its clock as told."""
+    actions = [records.plain(a) for a in step.actions]
+    row = {"seq": step.seq, "at": at, "event": records.plain(step.event), "actions": actions}
+    return msgspec.json.encode(more | row)
+
+
 def _lines(file: str, wanted: Callable[[replay.Step], bool]) -> None:
     for item in replay.items(whole(file)):
         if isinstance(item, replay.Gap):
             typer.echo(msgspec.json.encode({"gap": item.why}))
         elif isinstance(item, replay.Step) and wanted(item):
-            event, actions = records.plain(item.event), [records.plain(a) for a in item.actions]
-            typer.echo(
-                msgspec.json.encode({"seq": item.seq, "at": item.at, "event": event, "actions": actions})
-            )
+            typer.echo(_line(item, item.at))
 
 
 @capture.command()
@@ -200,10 +204,8 @@
                 name = frame.body.get("node", path)
         plus = shift[k] if shift else 0.0
         rows += [(i.at + plus, k, i.seq, name, i) for i in replay.items(data) if isinstance(i, replay.Step)]
-    for at, _, seq, name, item in sorted(rows, key=lambda row: row[:3]):
-        line = {"node": name, "seq": seq, "at": at, "event": records.plain(item.event)}
-        line["actions"] = [records.plain(a) for a in item.actions]
-        typer.echo(msgspec.json.encode(line))
+    for at, _, _, name, item in sorted(rows, key=lambda row: row[:3]):
+        typer.echo(_line(item, at, node=name))
 
 
 def _module(path: str | None) -> Any:
--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -138,8 +138,8 @@
 
     async def start(self) -> None:
         config = self.setup.config
-        if self.capture is not None and self.operator.capture is not None:
-            self.capture.set(self.operator.capture.on)  # before the module is told anything
+        if self.capture is not None:
+            self.capture.set(self.capture.settings.on)  # before the module is told anything
         self.live.key("log_level", "info", set_log_level)
         self.director.first = self._get_ready
         following = await self.handover.follow()
--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -131,12 +131,12 @@
         self.looking = False
         sealing = self.ring().sealing
         # Without a key there is nothing to seal with: what clients hold is kept until there is one.
-        due = self.renewals.due(time.monotonic(), sealing.id, RENEW_MOST) if sealing is not None else []
-        for session in due:
+        key = sealing.id if sealing is not None else ""
+        for session in self.renewals.due(time.monotonic(), key, RENEW_MOST) if key else ():
             offer, passing = session.offer, session.passing
             if session.mover is not None or not isinstance(offer, Offer) or not isinstance(passing, Passing):
                 # On its way to another life: it gets a token for that one.
-                self.renewals.given(session, time.monotonic(), sealing.id if sealing is not None else "")
+                self.renewals.given(session, time.monotonic(), key)
                 continue
             token = self._token(session, offer)
             if token != NO_TOKEN:
@@ -185,7 +185,7 @@
             self._turn(session, token, error)
             return True
         offer = Offer(place.session, place.epoch + 1, int(seen), place.client, place.cls, by)
-        self._claim(session, head, values, offer, place, token, by)
+        self._claim(session, head, values, offer, place, token)
         return True
 
     def _turn(self, session: ClientSession, token: str, error: Exception) -> None:
@@ -217,7 +217,6 @@
         offer: Offer,
         place: Place,
         token: str,
-        by: str,
     ) -> None:
         """The token's one use: of two that bring it, one goes on."""
         began = time.monotonic()
@@ -236,7 +235,7 @@
             self._later(session, why)
 
         wait = session.opening.ask.wait if session.opening is not None else None
-        self._next_life(place, min(wait or 1.0, 5.0) * 0.8, won, claimed, later, by)
+        self._next_life(place, min(wait or 1.0, 5.0) * 0.8, won, claimed, later, offer.by)
 
     def _next_life(
         self,
@@ -248,7 +247,7 @@
         by: str = "",
     ) -> None:
         """Claim the life after `place`'s, within `left` s: `won`; `claimed` where another has it; `later`
-        where nobody can say. `by` is a returning client's, for its next try."""
+        where nobody can say. `by` is the client's, for a next try."""
         if self.store is None:
             try:
                 epoch = self.claims.claim(place, time.time(), by)
