A node that moves a session in place does not take it from its client's own return

A claim by return may be tried again with the client's secret. A move in place carries that secret too, so that the client can come back if the node ends; but the same rule let the node claim the life after one that the very client had taken by returning elsewhere, and two lives bore one number. In place nothing is taken again now.

--- a/gradegap/resume/claims.py
+++ b/gradegap/resume/claims.py
@@ -40,23 +40,28 @@
     return hashlib.sha256(retry.encode()).hexdigest()[:32]
 
 
-def following(place: Place, node: str, held: Claim | None, by: str, now: float) -> Claim:
+def following(
+    place: Place, node: str, held: Claim | None, by: str, now: float, returns: bool = True
+) -> Claim:
     """The life after the one that the token names; `Claimed` where somebody else has it, or its time is over.
 
     Guards against a token that is lost with its use: the node that claimed the life was killed, or no server
     took the session, before its client was given another. Who brings the same secret for the same token
     within `RETRY` s is that client, and gets the life after the one that it never heard of.
+
+    Not so a node that moves a session in place (not `returns`): it leaves that secret, and gains nothing,
+    as the life in force is then that very client's, which has come back elsewhere.
     """
     if held is None or held.epoch == place.epoch:
         return Claim(place.epoch + 1, node, place.epoch, by, int(now))
-    same = bool(by) and (held.by, held.of) == (by, place.epoch)
+    same = returns and bool(by) and (held.by, held.of) == (by, place.epoch)
     if same and abs(now - held.at) <= RETRY + SKEW:
         return Claim(held.epoch + 1, node, place.epoch, by, int(now))
     raise Claimed(f"claimed: its life {place.epoch} is over, {held.epoch} is in force")
 
 
 def claim(
-    place: Place, node: str, found: Item | None, by: str = "", now: float = 0.0
+    place: Place, node: str, found: Item | None, by: str = "", now: float = 0.0, returns: bool = True
 ) -> tuple[int, Compare, Op]:
     """The new life, and the write that takes the session over from the one that the token names, given what
     the store has. It holds only where nobody else was first; `Claimed` where somebody was already.
@@ -70,7 +75,7 @@
             held = msgspec.convert(found.value, Claim)
         except msgspec.ValidationError:
             raise Claimed("claimed: what holds it can't be read") from None
-    made = following(place, node, held, by, now)
+    made = following(place, node, held, by, now, returns)
     op = Op(key, msgspec.to_builtins(made), ttl_ms=(LIFE + 2 * SKEW) * 1000)
     return made.epoch, Compare(key, found.changed if found is not None else 0), op
 
@@ -82,9 +87,9 @@
     def __init__(self) -> None:
         self.held: dict[str, Claim] = {}
 
-    def claim(self, place: Place, now: float, by: str = "") -> int:
+    def claim(self, place: Place, now: float, by: str = "", returns: bool = True) -> int:
         """The new epoch; `Claimed` where this node knows of a later one."""
-        made = following(place, "", self.held.get(place.session), by, now)
+        made = following(place, "", self.held.get(place.session), by, now, returns)
         self.held.pop(place.session, None)
         self.held[place.session] = made
         while self.held:
--- a/gradegap/resume/part.py
+++ b/gradegap/resume/part.py
@@ -244,13 +244,14 @@
         won: Callable[[int], None],
         claimed: Callable[[Claimed], None],
         later: Callable[[str], None],
-        by: str = "",
+        by: str,
+        returns: bool = True,
     ) -> None:
         """Claim the life after `place`'s, within `left` s: `won`; `claimed` where another has it; `later`
-        where nobody can say. `by` is the client's, for a next try."""
+        where nobody can say. `by` is the client's, for a next try of its own where it `returns`."""
         if self.store is None:
             try:
-                epoch = self.claims.claim(place, time.time(), by)
+                epoch = self.claims.claim(place, time.time(), by, returns)
             except Claimed as error:
                 claimed(error)
             else:
@@ -268,7 +269,7 @@
                 return
             try:
                 item = answer.items[0] if answer.items else None
-                epoch, compare, op = claim(place, self.node, item, by, time.time())
+                epoch, compare, op = claim(place, self.node, item, by, time.time(), returns)
             except Claimed as error:
                 claimed(error)
                 return
@@ -371,7 +372,7 @@
         # The client's secret goes into the claim: if this node ends before it has told of the new life, the
         # token of the old one must still bring its client back.
         claimed = lambda error: lost(str(error))  # noqa: E731
-        self.loop.call_soon(self._next_life, place, WAIT, won, claimed, lost, offer.by)
+        self.loop.call_soon(self._next_life, place, WAIT, won, claimed, lost, offer.by, False)
         return True
 
     def _accepts(self, offer: Offer) -> Callable[[bytes], int | None]:
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -32,6 +32,17 @@
     return client.line()
 
 
+def returned(w: World, more: str, within: float = 10.0) -> tuple[Client, str]:
+    """A client that comes as clients do: told `BUSY`, as where a member has no lease for a moment, it comes
+    again."""
+    end = time.monotonic() + within
+    while (said := opened(client := w.client(), more)).startswith("BUSY "):
+        assert time.monotonic() < end, said
+        client.sock.close()
+        time.sleep(int(said[5:]) / 1000)
+    return client, said
+
+
 def token_of(said: str) -> str:
     found = re.fullmatch(r"UP \S+ rs=\d+,w=64,t=(\S+)", said)
     assert found is not None, said
--- a/tests/test_resume_nodes.py
+++ b/tests/test_resume_nodes.py
@@ -16,7 +16,7 @@
 from gradegap.store.remote import Remote
 from tests.resume_world import ResumeBackend, SaveStore
 from tests.test_handover import second
-from tests.test_resume import ON, run, token_of
+from tests.test_resume import ON, returned, run, token_of
 from tests.test_resume import opened as opening
 from tests.test_store_node import Nodes, nodes
 from tests.world import Client, World, wait_for, world
@@ -49,22 +49,23 @@
         c.send(f"Q 1 turn-{turn}")
         assert c.line() == f"A 1 done turn-{turn}"
         c.sock.close()
-        ends = [nodes.node[n].client() for n in ("n2", "n3")]
+        ends = [nodes.node[n] for n in ("n2", "n3")]
         told = ["", ""]
         gate = threading.Barrier(2)
 
         def come(k: int, token: str = token) -> None:
             gate.wait()  # noqa: B023
-            told[k] = opening(ends[k], f",rh=1,rt={token}")  # noqa: B023
+            secret = f"{k + 10}" * 16  # for who is told BUSY, and can't know whether its claim stands
+            told[k] = returned(ends[k], f",rh=1,rt={token},ra={secret}")[1]  # noqa: B023
 
         threads = [threading.Thread(target=come, args=(k,)) for k in (0, 1)]
         for t in threads:
             t.start()
         for t in threads:
-            t.join(5.0)
+            t.join(15.0)
         won = [said for said in told if said.startswith("UP ")]
         assert len(won) == 1 and "X claimed" in told, told
-        assert opening(nodes.node["n1"].client(), f",rh=1,rt={token}") == "X claimed"  # nor a second later
+        assert returned(nodes.node["n1"], f",rh=1,rt={token}")[1] == "X claimed"  # nor a second later
     log = [r for n in nodes.names for r in from_node(n, nodes.node[n].log.read_text())]
     assert len(log) == 8 and not list(violations([*log, *store.log]))
 
@@ -116,8 +117,8 @@
             return opening(nodes.node["n2"].client(), more) == "X claimed"
 
         wait_for(refused, 10.0)
-    again = nodes.node["n3"].client()
-    assert token_of(opening(again, mine)) != token
+    again, said = returned(nodes.node["n3"], mine)  # the killed one may have led the store
+    assert token_of(said) != token
     again.send("Q 2 y")
     assert again.line() == "A 2 done y"
     log = [r for n in nodes.names for r in from_node(n, nodes.node[n].log.read_text())]
@@ -135,11 +136,10 @@
         c.send(f"Q 1 turn-{turn}")
         assert c.line() == f"A 1 done turn-{turn}"
         leaves = a if store.log[-1].who == "a" else b
-        again = other.client()
         drains = threading.Thread(target=w.director.tell, args=(leaves,), kwargs={"state": "Terminating"})
         drains.start()
         time.sleep(0.01 * turn)  # not waited for: which of them is first is what varies
-        said = opening(again, f",rh=1,rt={token}")
+        again, said = returned(other, f",rh=1,rt={token},ra={'5e' * 16}")
         drains.join(5.0)
         if said == "X claimed":  # it was moved in place: the line that stood goes on
             seen.add("in place")
@@ -212,9 +212,8 @@
     place: Place = opened(now, cluster, told[2:], time.time())
     assert place.epoch == 1 and place.client == "7f3a"
     c.sock.close()
-    again = nodes.node["n2"].client()
     wait_for(lambda: opening(nodes.node["n3"].client(), f",rh=0,rt={token}") == "X retired_key")
-    assert token_of(opening(again, f",rh=0,rt={told[2:]}"))
+    assert token_of(returned(nodes.node["n2"], f",rh=0,rt={told[2:]}")[1])
 
 
 def test_targets_that_die_one_after_the_other_while_a_session_moves(tmp_path: Path) -> None:
--- a/tests/test_resume_parts.py
+++ b/tests/test_resume_parts.py
@@ -248,6 +248,8 @@
     with pytest.raises(Claimed):
         moved.claim(PLACE, 1.0, other)
     assert moved.claim(PLACE, 1.0, mine) == 5
+    with pytest.raises(Claimed):  # its client is back elsewhere: a node that still moves it takes nothing
+        moved.claim(PLACE, 2.0, mine, returns=False)
     latest = msgspec.structs.replace(PLACE, epoch=6)
     assert claims.claim(latest, 30.0) == 7  # in place, or at its next return
     with pytest.raises(Claimed):
