A dial given up at its end closes no other connection's descriptor

uvloop closes a transport's descriptor itself and then lets go of the Python socket that it was made from, but it ties the two together only after connection_made. An attempt that was given up while the loop took its socket over aborts in connection_made: the socket then kept the number of a closed descriptor, and when it was collected closed whatever connection had that number by then. Under load that was another session's, or a client's: connections hung, ended with 'File descriptor 105 is used by transport' or carried on with another's lines. It is let go of now.

--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -95,10 +95,17 @@
         while True:
             sock, protocol = await self.made.get()
             try:
-                await self.loop.create_connection(lambda p=protocol: p, sock=sock)  # type: ignore[misc]
+                transport, _ = await self.loop.create_connection(lambda p=protocol: p, sock=sock)  # type: ignore[misc]
             except OSError as error:
                 sock.close()
                 protocol.connection_lost(error)
+                continue
+            if transport.is_closing():
+                # Guards against another connection's end. uvloop lets go of `sock` when it closes the
+                # transport, but ties the two together only after `connection_made`. Closed by then, as by an
+                # attempt that was given up, `sock` kept the number of a descriptor that was closed, and when
+                # it was collected it closed whatever had that number.
+                sock.detach()
 
 
 class Fetch(Pausable):
