QUIC: ids that name their holder, resets, and address tokens under a shared ring

Ids were eight random octets in one process's map, Retry's tokens died with it, and a client of a node that was started anew waited for its idle time. What touches aioquic's private parts is one module that fails at import.

--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -31,6 +31,7 @@
     from gradegap.dnssd import DnsDirector
     from gradegap.quic.front import QuicFront
     from gradegap.store.attached import Attached
+    from gradegap.store.machine import Machine
 
 log = structlog.get_logger()
 
@@ -303,7 +304,8 @@
         from gradegap.quic.front import QuicFront
 
         try:
-            self.quic = front = QuicFront(self.core, self.stats, self.admits, settings)
+            name = self.setup.config.name
+            self.quic = front = QuicFront(self.core, self.stats, self.admits, settings, name, self._machine)
             front.resuming = self.resuming
             address = split_address(settings.listen)
             await self.loop.create_datagram_endpoint(lambda: front, local_addr=address)
@@ -313,6 +315,9 @@
         self.live.key("quic_accept", True, front.set_accept)
         log.info("listening", quic=settings.listen)
 
+    def _machine(self) -> Machine | None:
+        return self.store.machine if self.store is not None else None
+
     def _store_allows(self) -> bool:
         """Whether decisions may be made by what is known of the store here."""
         settings = self.operator.store
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -22,6 +22,7 @@
     idle_s: float = 30.0
     max_sessions: int = 4000
     retry_from: int = 64  # handshakes under way from which clients must prove their address
+    node: Annotated[int, msgspec.Meta(ge=0, le=65535)] | None = None  # in ids; none: made of the node's name
 
 
 class Peer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/gradegap/quic/connection.py
@@ -0,0 +1,90 @@
+"""A server's connection: aioquic's, with ids of our making, tokens for later, and windows that can be held.
+
+All that touches private parts of aioquic stands here. It is pinned for that, and what is overridden is looked
+for at import, so that another version fails at start and not in the middle of a session.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.packet_builder import QuicDeliveryState
+
+STREAM = 0  # the client's first bidirectional stream carries the session
+MOST_IDS = 8  # of one connection at once
+TOKEN_FRAME = 1 + 8  # octets of a NEW_TOKEN frame beside the token
+
+_OVERRIDDEN = ("_write_connection_limits", "_write_stream_limits", "_replenish_connection_ids")
+if missing := [n for n in _OVERRIDDEN if not hasattr(QuicConnection, n)]:
+    raise ImportError(f"this aioquic has no {', '.join(missing)}; install the version of requirements.txt")
+
+
+class HeldConnection(QuicConnection):
+    """Its flow-control windows are not raised while its backend can't take more.
+
+    Guards against a client that sends faster than its backend reads: aioquic raises windows by what has
+    arrived, not by what was taken on, and has no public call to hold them.
+    """
+
+    def __init__(
+        self,
+        configuration: QuicConfiguration,
+        original: bytes,
+        retried: bytes | None,
+        make_id: Callable[[], bytes],
+        reset_token: Callable[[bytes], bytes],
+    ) -> None:
+        """`original` is the id that the client chose first, `retried` the one that a Retry gave it."""
+        super().__init__(
+            configuration=configuration,
+            original_destination_connection_id=original,
+            retry_source_connection_id=retried,
+        )
+        self.make_id, self.reset_token = make_id, reset_token
+        self.held = False
+        self.offer = b""  # a token for the client's next connection, until it has it
+        cid = make_id()
+        self._host_cids[0] = QuicConnectionId(cid, 0, reset_token(cid), True)
+        self.host_cid = self._local_initial_source_connection_id = cid
+
+    def _replenish_connection_ids(self) -> None:
+        while len(self._host_cids) < min(MOST_IDS, self._remote_active_connection_id_limit):
+            cid = self.make_id()
+            self._host_cids.append(QuicConnectionId(cid, self._host_cid_seq, self.reset_token(cid)))
+            self._host_cid_seq += 1
+
+    def _write_connection_limits(self, builder: Any, space: Any) -> None:
+        if self.offer and self._handshake_complete:
+            token, self.offer = self.offer, b""
+            frame = builder.start_frame(
+                QuicFrameType.NEW_TOKEN,
+                capacity=TOKEN_FRAME + len(token),
+                handler=self._token_delivered,
+                handler_args=(token,),
+            )
+            frame.push_uint_var(len(token))
+            frame.push_bytes(token)
+        if not self.held:
+            super()._write_connection_limits(builder, space)
+
+    def _token_delivered(self, state: QuicDeliveryState, token: bytes) -> None:
+        if state != QuicDeliveryState.ACKED:
+            self.offer = token  # lost: once more
+
+    def _write_stream_limits(self, builder: Any, space: Any, stream: Any) -> None:
+        if not self.held:
+            super()._write_stream_limits(builder, space, stream)
+
+    def unsent(self) -> int:
+        """Bytes of the session's stream that the client has not acknowledged."""
+        stream = self._streams.get(STREAM)
+        return 0 if stream is None else len(stream.sender._buffer)
+
+    def delivered(self) -> bool:
+        """Whether the client has all of the session's stream, its end included."""
+        stream = self._streams.get(STREAM)
+        return stream is None or stream.sender.is_finished
--- a/gradegap/resume/commands.py
+++ b/gradegap/resume/commands.py
@@ -3,44 +3,69 @@
 from __future__ import annotations
 
 import time
+from enum import StrEnum
 from typing import Any
 
 import msgspec
 import typer
 
+from gradegap.quic.keys import RING as QUIC_RING
+from gradegap.quic.keys import QuicRing
 from gradegap.resume.token import RING, BadToken, Ring, digest, opened
 from gradegap.store.commands import JSON, NODE, SECRET, WAIT, author, remote, say, stop
 from gradegap.store.machine import Compare, Item, Op
 from gradegap.store.remote import Remote
 from gradegap.store.wire import Write
 
-keys = typer.Typer(help="The keys that seal tokens of sessions.", no_args_is_help=True)
+keys = typer.Typer(help="Rings of keys that nodes share.", no_args_is_help=True)
 token = typer.Typer(help="Tokens of sessions.", no_args_is_help=True)
 
 
-def read(r: Remote) -> tuple[Ring, Item | None]:
-    item = r.get(RING)
+class Which(StrEnum):
+    """A ring of the store."""
+
+    RESUME = "resume"  # seals tokens of sessions
+    QUIC = "quic"  # makes QUIC's ids, resets and address tokens
+
+
+RING_OF = typer.Option(Which.RESUME, "--ring", help="which ring")
+KINDS: dict[Which, tuple[str, type[Ring] | type[QuicRing]]] = {
+    Which.RESUME: (RING, Ring),
+    Which.QUIC: (QUIC_RING, QuicRing),
+}
+
+
+def read(r: Remote, which: Which = Which.RESUME) -> tuple[Ring | QuicRing, Item | None]:
+    key, kind = KINDS[which]
+    item = r.get(key)
     if item is None:
-        return Ring(), None
+        return kind(), None
     try:
-        ring = msgspec.convert(item.value, Ring)
+        ring = msgspec.convert(item.value, kind)
         ring.check()
     except ValueError as error:
-        raise stop(f"{RING} can't be read: {error}", 1) from None
+        raise stop(f"{key} can't be read: {error}", 1) from None
     return ring, item
 
 
-def write(r: Remote, ring: Ring, old: Item | None) -> int:
+def write(r: Remote, which: Which, ring: Ring | QuicRing, old: Item | None) -> int:
     """Only over the ring that was read: of two who rotate at once, one is told."""
-    op = Op(RING, msgspec.to_builtins(ring))
-    answer = r.one(Write((op,), (Compare(RING, old.changed if old is not None else 0),), author=author()))
+    key = KINDS[which][0]
+    op = Op(key, msgspec.to_builtins(ring))
+    answer = r.one(Write((op,), (Compare(key, old.changed if old is not None else 0),), author=author()))
     if not answer.succeeded:
         raise stop("somebody changed the ring at this moment; nothing was done", 1)
     return answer.revision
 
 
-def shown(ring: Ring) -> list[dict[str, Any]]:
-    """Never the secrets."""
+def shown(ring: Ring | QuicRing) -> list[dict[str, Any]]:
+    """Never the secrets. Newest first."""
+    if isinstance(ring, QuicRing):
+        newest = ring.keys[-1] if ring.keys else None
+        return [
+            {"id": str(k.bits), "made_ms": k.made_ms, "state": "makes" if k == newest else "reads"}
+            for k in reversed(ring.keys)
+        ]
     sealing = ring.sealing
     return [
         {"id": k.id, "made_ms": k.made_ms, "state": "seals" if k == sealing else k.state} for k in ring.keys
@@ -48,37 +73,49 @@
 
 
 @keys.command("list")
-def keys_list(node: str = NODE, json: bool = JSON, wait: float = WAIT, secret: str = SECRET) -> None:
-    """Print the ring, newest first, without what it seals with."""
+def keys_list(
+    ring: Which = RING_OF, node: str = NODE, json: bool = JSON, wait: float = WAIT, secret: str = SECRET
+) -> None:
+    """Print a ring, newest first, without its secrets."""
     with remote(node, secret, wait) as r:
-        ring, _ = read(r)
-    rows = shown(ring)
+        found, _ = read(r, ring)
+    rows = shown(found)
     say(rows, json, "\n".join(f"{k['id']} {k['state']} made_ms={k['made_ms']}" for k in rows) or "no keys")
 
 
 @keys.command("rotate")
-def keys_rotate(node: str = NODE, json: bool = JSON, wait: float = WAIT, secret: str = SECRET) -> None:
-    """Seal with a new key from now on; tokens that clients hold are still opened."""
+def keys_rotate(
+    ring: Which = RING_OF, node: str = NODE, json: bool = JSON, wait: float = WAIT, secret: str = SECRET
+) -> None:
+    """Use a new key from now on; what clients hold of the others is still taken."""
     with remote(node, secret, wait) as r:
-        ring, old = read(r)
-        ring = ring.rotated(time.time_ns() // 1_000_000)
-        write(r, ring, old)
-    made = ring.keys[0].id
+        found, old = read(r, ring)
+        found = found.rotated(time.time_ns() // 1_000_000)
+        write(r, ring, found, old)
+    made = str(found.keys[-1].bits) if isinstance(found, QuicRing) else found.keys[0].id
     say({"id": made}, json, made)
 
 
 @keys.command("retire")
 def keys_retire(
-    key: str, node: str = NODE, json: bool = JSON, wait: float = WAIT, secret: str = SECRET
+    key: str,
+    ring: Which = RING_OF,
+    node: str = NODE,
+    json: bool = JSON,
+    wait: float = WAIT,
+    secret: str = SECRET,
 ) -> None:
-    """Open nothing any more that a key has sealed. The one that seals can't be retired: rotate first."""
+    """Take nothing any more that a key has made. The one in use can't be retired: rotate first."""
     with remote(node, secret, wait) as r:
-        ring, old = read(r)
+        found, old = read(r, ring)
         try:
-            ring = ring.retired(key)
+            if isinstance(found, QuicRing):
+                found = found.retired(int(key) if key.isdecimal() else -1)
+            else:
+                found = found.retired(key)
         except ValueError as error:
             raise stop(str(error), 1) from None
-        write(r, ring, old)
+        write(r, ring, found, old)
     say({"id": key, "state": "retired"}, json, f"{key} retired")
 
 
@@ -89,6 +126,7 @@
     """Say what a token proves, by the ring of a running cluster; exits 1 where it proves nothing."""
     with remote(node, secret, wait) as r:
         ring, _ = read(r)
+        assert isinstance(ring, Ring)
         cluster = str(r.status()["cluster"])
     try:
         place = opened(ring, cluster, text, time.time())
--- a/gradegap/store/schema.py
+++ b/gradegap/store/schema.py
@@ -58,6 +58,20 @@
     keys: Annotated[list[SealingKey], msgspec.Meta(max_length=16)] = []
 
 
+class QuicKey(msgspec.Struct, forbid_unknown_fields=True):
+    """One secret of `keys/quic`; see `gradegap.quic.keys`."""
+
+    bits: Annotated[int, msgspec.Meta(ge=0, le=6)]
+    secret: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9+/]{43}=$")]
+    made_ms: int = 0
+
+
+class QuicKeys(msgspec.Struct, forbid_unknown_fields=True):
+    """`keys/quic`: what QUIC's ids, resets and address tokens are made from. `gradegap keys` writes it."""
+
+    keys: Annotated[list[QuicKey], msgspec.Meta(min_length=1, max_length=6)]
+
+
 FIELDS = {f.encode_name: f for f in msgspec.structs.fields(Settings)}
 
 
@@ -76,6 +90,8 @@
             return msgspec.convert(value, Invited)
         if key == "keys/resume":
             return msgspec.convert(value, SealingKeys)
+        if key == "keys/quic":
+            return msgspec.convert(value, QuicKeys)
     except msgspec.ValidationError as error:
         raise ValueError(f"{key}: {re.sub(r' - at .*', '', str(error))}") from None
     return value
@@ -96,13 +112,14 @@
 
 def json_schema() -> dict[str, Any]:
     """JSON Schema of all keys, for editors and for review."""
-    kinds = (Settings, Out, Invited, SealingKeys)
-    (config, out, invited, keys), defs = msgspec.json.schema_components(kinds, ref_template="#/$defs/{name}")
+    kinds = (Settings, Out, Invited, SealingKeys, QuicKeys)
+    parts, defs = msgspec.json.schema_components(kinds, ref_template="#/$defs/{name}")
+    config, out, invited, sealing, quic = parts
     return {
         "$schema": "https://json-schema.org/draft/2020-12/schema",
         "title": "keys of the store",
         "type": "object",
-        "properties": {"config/": config, "keys/resume": keys},
+        "properties": {"config/": config, "keys/resume": sealing, "keys/quic": quic},
         "patternProperties": {"^out/.+": out, "^cluster/invited/.+": invited},
         "$defs": defs,
     }
