--- a/gradegap/cli.py
+++ b/gradegap/cli.py
@@ -7,6 +7,7 @@
 from gradegap.app import configure_log, load_both
 from gradegap.app import serve as run_serve
 from gradegap.capture import commands as capture_commands
+from gradegap.quic import commands as quic_commands
 from gradegap.resume import commands as resume_commands
 from gradegap.store import commands
 
@@ -18,6 +19,7 @@
 app.add_typer(resume_commands.keys, name="keys")
 app.add_typer(resume_commands.token, name="token")
 app.add_typer(capture_commands.capture, name="capture")
+app.add_typer(quic_commands.conformance, name="conformance")
 app.command("replay")(capture_commands.replay_command)
 app.command("whatif")(capture_commands.whatif_command)
 app.command("explain")(capture_commands.explain_command)
--- a/gradegap/quic/channel.py
+++ b/gradegap/quic/channel.py
@@ -74,6 +74,7 @@
         self.timer_at = 0.0
         self.flushing = False
         self.closing = False  # our side of the stream has ended
+        self.spoken = False  # the client has opened the stream: before that nothing can be said on it
         self.gone = False
         self.full = False  # the backend is not read while the client is slow
         self.began = self.loop.time()
@@ -122,6 +123,7 @@
             return
         if self.session is None or self.closing:
             return
+        self.spoken = True
         if event.data:
             self.session.data(event.data)
         if event.end_stream:
@@ -140,6 +142,11 @@
 
     def _handshake_late(self) -> None:
         self.front.stats.count("quic_handshakes_late")
+        if not self.connection.proven():
+            # Guards whoever has that address, and may have said nothing: a close is one more answer to it,
+            # and aioquic does not count it into the three times of what came (RFC 9000, 8.1).
+            self._terminated(True)
+            return
         self.abort(CloseCode.FAILED)
         # Guards against first packets that nothing can be made of: their connection has no way to end.
         self.loop.call_later(LINGER, self._terminated, True)
@@ -178,7 +185,7 @@
         pass
 
     def write(self, data: bytes) -> None:
-        if self.gone or self.closing:
+        if self.gone or self.closing or not self.spoken:
             return
         self.connection.send_stream_data(STREAM, data)
         self._flush_soon()
@@ -217,6 +224,10 @@
         self.closing = True
         code = CODES[ending]
         self.front.stats.count(f"quic_closed_{code.name.lower()}")
+        if not self.spoken:
+            # Guards against clients that shake hands and then say nothing: the code alone tells them.
+            self.abort(code)
+            return
         if ending is Ending.RESET:
             self.connection.reset_stream(STREAM, code)
             self.abort(code)
--- a/gradegap/quic/connection.py
+++ b/gradegap/quic/connection.py
@@ -79,6 +79,10 @@
         if not self.held:
             super()._write_stream_limits(builder, space, stream)
 
+    def proven(self) -> bool:
+        """Whether the client has shown that it hears what is sent to its address."""
+        return bool(self._network_paths) and self._network_paths[0].is_validated
+
     def unsent(self) -> int:
         """Bytes of the session's stream that the client has not acknowledged."""
         stream = self._streams.get(STREAM)
--- a/gradegap/quic/front.py
+++ b/gradegap/quic/front.py
@@ -42,6 +42,7 @@
 MOST_HANDSHAKES = 256  # handshakes under way at once
 MOST_BEFORE = 2  # processes before this one that are still forwarded to
 RESET_MOST = 42  # octets of a stateless reset, as of a small packet
+RETIRED_FOR = 3.0  # s in which packets to an id that was retired are only late
 RESETS, RESET_BURST = 200.0, 100  # stateless resets a second, and at once
 
 
@@ -91,6 +92,7 @@
         self.routes: dict[bytes, QuicChannel] = {}  # by ids of ours
         self.firsts: dict[tuple[bytes, Any], QuicChannel] = {}  # by the client's first id, and its address
         self.channels: set[QuicChannel] = set()
+        self.retired: dict[bytes, float] = {}  # ids of sessions that stand, lately retired, with until when
         self.configuration = QuicConfiguration(
             is_client=False,
             alpn_protocols=list(settings.alpn),
@@ -211,6 +213,10 @@
         channel.ids.discard(connection_id)
         if self.routes.get(connection_id) is channel:
             del self.routes[connection_id]
+            # What is still under way to it is late, and no sign of a session that is lost.
+            self.retired[connection_id] = self.loop.time() + RETIRED_FOR
+            while self.retired and next(iter(self.retired.values())) <= self.loop.time():
+                del self.retired[next(iter(self.retired))]
 
     def over(self, channel: QuicChannel) -> None:
         for each in channel.ids:
@@ -246,6 +252,8 @@
                 self._accept(route, data, addr)
             case Way.NEGOTIATE:
                 self._negotiate(route, addr)
+            case Way.RESET if self.retired.get(route.destination, 0.0) > self.loop.time():
+                self.stats.count("quic_dropped_retired")
             case Way.RESET:
                 self._reset(route, data, addr)
             case _:
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -413,6 +413,15 @@
         assert w.counters()["quic_retries"] == "1"
 
 
+def test_a_client_that_shakes_hands_and_says_nothing_is_closed_in_time(tmp_path: Path) -> None:
+    """Its late first line was once answered on a stream that there was not: it stayed until its idle time."""
+    with quic_world(tmp_path, [Backend("a")]) as (w, port):
+        c = QuicClient(port)
+        assert c.code() is CloseCode.BAD_LINE and c.data == b""
+        wait_for(lambda: w.counters()["quic_sessions"] == "0")
+        assert w.counters()["late_first_lines"] == "1"
+
+
 def test_first_packets_that_nothing_can_be_made_of_are_forgotten(tmp_path: Path) -> None:
     with quic_world(tmp_path, [Backend("a")]) as (w, port):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
