QUIC's datagram path under fuzz: what can't be opened is kept by nobody, and moves nobody

Found and mended: a first packet that can't be opened raised in the loop (IndexError in aioquic's list of paths) and left a session for 2.5 s; a forged packet with a session's id counted as its migration and changed the address that its next token was made for.

--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -425,7 +425,9 @@
 
     def reload(self) -> None:
         """SIGHUP: read the configuration again and apply it, whatever else goes on; a bad one changes
-        nothing."""
+        nothing. QUIC's certificate is read again, too, whatever becomes of the rest."""
+        if self.quic is not None:
+            self.quic.reload()
         old = self.setup
         try:
             self.setup = new = reload(old)
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -12,7 +12,7 @@
 NAME = re.compile(r"[A-Za-z0-9_-]{1,64}")
 
 
-class QuicSettings(msgspec.Struct):
+class QuicSettings(msgspec.Struct, forbid_unknown_fields=True):
     """The `[quic]` table of an operator's file."""
 
     listen: str
@@ -23,6 +23,9 @@
     max_sessions: int = 4000
     retry_from: int = 64  # handshakes under way from which clients must prove their address
     node: Annotated[int, msgspec.Meta(ge=0, le=65535)] | None = None  # in ids; none: made of the node's name
+    keylog: str = ""  # a file for all sessions' secrets, as packet analysers read them: for tests alone
+    qlog: str = ""  # a folder for traces of some connections
+    qlog_mb: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 64  # MiB that they may take
 
 
 class Peer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/gradegap/quic/channel.py
+++ b/gradegap/quic/channel.py
@@ -80,13 +80,19 @@
         self.began = self.loop.time()
         self.handshake = self.loop.call_later(HANDSHAKE_WAIT, self._handshake_late)
 
-    def receive(self, data: bytes, address: Any) -> None:
-        if address != self.address:
+    def receive(self, data: bytes, address: Any) -> bool:
+        """False for a first packet that can't be opened: then there is no connection."""
+        self.connection.receive_datagram(data, address, now=self.loop.time())
+        # By what could be opened: anybody can write an id that he has seen into a packet of his own.
+        now_at = self.connection.address()
+        if now_at is None:
+            return False
+        if now_at != self.address:
             # The same session at a new address: aioquic validates the path before it is used in full.
-            self.address = address
+            self.address = now_at
             self.front.stats.count("quic_migrations")
-        self.connection.receive_datagram(data, address, now=self.loop.time())
         self.run()
+        return True
 
     def run(self) -> None:
         """What the connection has to tell, then what it has to send."""
@@ -140,12 +146,16 @@
         if self.session is not None:
             self.session.lost(reset=reset)
 
+    def forget(self) -> None:
+        """Nothing came of it: no word to its client, who may never have asked."""
+        self._terminated(True)
+
     def _handshake_late(self) -> None:
         self.front.stats.count("quic_handshakes_late")
         if not self.connection.proven():
             # Guards whoever has that address, and may have said nothing: a close is one more answer to it,
             # and aioquic does not count it into the three times of what came (RFC 9000, 8.1).
-            self._terminated(True)
+            self.forget()
             return
         self.abort(CloseCode.FAILED)
         # Guards against first packets that nothing can be made of: their connection has no way to end.
--- a/gradegap/quic/connection.py
+++ b/gradegap/quic/connection.py
@@ -83,6 +83,10 @@
         """Whether the client has shown that it hears what is sent to its address."""
         return bool(self._network_paths) and self._network_paths[0].is_validated
 
+    def address(self) -> Any:
+        """Where the client is, by the last packet of its that could be opened; None before the first."""
+        return self._network_paths[0].addr if self._network_paths else None
+
     def unsent(self) -> int:
         """Bytes of the session's stream that the client has not acknowledged."""
         stream = self._streams.get(STREAM)
--- a/gradegap/quic/front.py
+++ b/gradegap/quic/front.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
+import datetime
 import secrets
 import socket
 import ssl
@@ -25,10 +27,12 @@
 from gradegap.operator_file import QuicSettings
 from gradegap.quic.channel import CloseCode, QuicChannel
 from gradegap.quic.connection import HeldConnection
+from gradegap.quic.credentials import SOON, read
 from gradegap.quic.keys import NONCE, RING, SERVER, Holder, Keys, QuicRing
 from gradegap.quic.relay import Inlet, Relay, pair
 from gradegap.quic.routing import RESET_LEAST, Bucket, Route, Router, Way
 from gradegap.quic.tokens import BadToken, Tokens
+from gradegap.quic.trace import Traces
 from gradegap.stats import Stats
 
 if TYPE_CHECKING:
@@ -42,6 +46,7 @@
 MOST_HANDSHAKES = 256  # handshakes under way at once
 MOST_BEFORE = 2  # processes before this one that are still forwarded to
 RESET_MOST = 42  # octets of a stateless reset, as of a small packet
+WARN_EVERY = 24 * 3600.0  # s
 RETIRED_FOR = 3.0  # s in which packets to an id that was retired are only late
 RESETS, RESET_BURST = 200.0, 100  # stateless resets a second, and at once
 
@@ -88,12 +93,35 @@
         self.inlet: Inlet | None = None  # what that one forwards
         self.way_here: socket.socket | None = None  # the end that it writes to
         self.tokens = Tokens(self.keys)
+        self.ends: asyncio.TimerHandle | None = None  # when the certificate is looked at again
         self.resets = Bucket(RESETS, RESET_BURST)
         self.routes: dict[bytes, QuicChannel] = {}  # by ids of ours
         self.firsts: dict[tuple[bytes, Any], QuicChannel] = {}  # by the client's first id, and its address
         self.channels: set[QuicChannel] = set()
         self.retired: dict[bytes, float] = {}  # ids of sessions that stand, lately retired, with until when
-        self.configuration = QuicConfiguration(
+        self.settings = settings
+        self.traces = Traces(settings.qlog, settings.qlog_mb, stats) if settings.qlog else None
+        # Open for as long as the process lives: secrets of each session go there as they are made.
+        self.keylog = open(settings.keylog, "a") if settings.keylog else None  # noqa: SIM115
+        if self.keylog is not None:
+            log.warning("secrets of all QUIC sessions are written to a file", keylog=settings.keylog)
+        self.configuration = self._configured()
+        self._warn_of_end()
+        stats.gauge("quic_sessions", lambda: len(self.channels))
+        stats.gauge("quic_ids", lambda: len(self.routes))
+        stats.gauge("quic_certificate_days", self._days_left)
+
+    def set_most(self, value: int) -> None:
+        self.most = value
+
+    def set_accept(self, value: bool) -> None:
+        self.accept = value
+
+    def _configured(self) -> QuicConfiguration:
+        """With the certificate as it is on disk now; `BadCredentials` where it can't be used."""
+        settings = self.settings
+        self.credentials = read(settings.certificate, settings.private_key)
+        made = QuicConfiguration(
             is_client=False,
             alpn_protocols=list(settings.alpn),
             connection_id_length=1 + SERVER + NONCE,
@@ -101,16 +129,33 @@
             max_data=WINDOW,
             max_stream_data=WINDOW,
             verify_mode=ssl.CERT_NONE,
+            secrets_log_file=self.keylog,
         )
-        self.configuration.load_cert_chain(settings.certificate, settings.private_key)
-        stats.gauge("quic_sessions", lambda: len(self.channels))
-        stats.gauge("quic_ids", lambda: len(self.routes))
+        made.load_cert_chain(settings.certificate, settings.private_key)
+        return made
 
-    def set_most(self, value: int) -> None:
-        self.most = value
+    def reload(self) -> None:
+        """The certificate anew, for who comes next; sessions that stand keep the keys that they have. One
+        that can't be used changes nothing."""
+        try:
+            self.configuration = self._configured()
+        except ValueError as error:
+            self.stats.count("quic_certificates_refused")
+            log.error("the certificate was not reloaded, the old one is kept", error=str(error))
+            return
+        self.stats.count("quic_certificates")
+        log.info("certificate", subject=self.credentials.subject, until=str(self.credentials.until))
+        self._warn_of_end()
 
-    def set_accept(self, value: bool) -> None:
-        self.accept = value
+    def _days_left(self) -> float:
+        return round(self.credentials.days_left(datetime.datetime.now(datetime.UTC)), 1)
+
+    def _warn_of_end(self) -> None:
+        if (left := self._days_left()) < SOON:
+            log.warning("the certificate ends soon", days=left, subject=self.credentials.subject)
+        if self.ends is not None:
+            self.ends.cancel()
+        self.ends = self.loop.call_later(WARN_EVERY, self._warn_of_end)
 
     # The port
 
@@ -312,15 +357,19 @@
                 first = None  # served as one that has brought none
             if first is not None:
                 original, retried = first, route.destination
-        connection = HeldConnection(
-            self.configuration, original, retried, self.make_id, self.keys.reset_token
-        )
+        configuration = self.configuration
+        if self.traces is not None and self.traces.room:
+            configuration = dataclasses.replace(configuration, quic_logger=self.traces)
+        connection = HeldConnection(configuration, original, retried, self.make_id, self.keys.reset_token)
         channel = QuicChannel(self, connection, addr)
         channel.first = (route.destination, addr)
         self.channels.add(channel)
         self.firsts[channel.first] = channel
         self.issue(connection.host_cid, channel)
-        channel.receive(data, addr)
+        if not channel.receive(data, addr):
+            # Guards memory against noise that begins like a first packet: nothing is kept for it.
+            self.stats.count("quic_dropped_unopened")
+            channel.forget()
 
     def _ask_again(self, route: Route, addr: Any) -> None:
         source = self.make_id()
@@ -350,6 +399,10 @@
             self.inlet.close()
             self.way_here.close()
         self.alone()
+        if self.ends is not None:
+            self.ends.cancel()
+        if self.keylog is not None:
+            self.keylog.close()
 
 
 __all__ = ["CloseCode", "QuicFront"]
--- /dev/null
+++ b/gradegap/quic/trace.py
@@ -0,0 +1,87 @@
+"""qlog of some connections, in a folder with a bound (draft-ietf-quic-qlog-main-schema).
+
+A trace lies in memory until its connection ends, so few are taken at once, each up to a length. The oldest
+files go when there are more than the folder may hold. Traces hold ids and addresses, no keys and no lines.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from pathlib import Path
+from typing import Any
+
+import structlog
+from aioquic.quic.logger import QuicLogger, QuicLoggerTrace
+
+from gradegap.stats import Stats
+
+log = structlog.get_logger()
+
+AT_ONCE = 32  # connections
+EVENTS_MOST = 20_000  # of one trace
+SUFFIX = ".sqlog.json"
+
+
+class Trace(QuicLoggerTrace):
+    """One connection's, up to a length."""
+
+    def __init__(self, odcid: bytes, stats: Stats) -> None:
+        super().__init__(is_client=False, odcid=odcid)
+        self.stats = stats
+
+    def log_event(self, *, category: str, event: str, data: dict[str, Any]) -> None:
+        if len(self._events) >= EVENTS_MOST:
+            self.stats.count("quic_trace_events_cut")
+            return
+        super().log_event(category=category, event=event, data=data)
+
+
+class Traces(QuicLogger):
+    """A logger that aioquic's connections can be given, one for each."""
+
+    def __init__(self, folder: str, most_mb: int, stats: Stats) -> None:
+        """`OSError` where the folder can't be written."""
+        super().__init__()
+        self.folder, self.most, self.stats = Path(folder), most_mb * 1024 * 1024, stats
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.count = 0
+
+    @property
+    def room(self) -> bool:
+        return len(self._traces) < AT_ONCE
+
+    def start_trace(self, is_client: bool, odcid: bytes) -> QuicLoggerTrace:
+        trace = Trace(odcid, self.stats)
+        self._traces.append(trace)
+        self.stats.count("quic_traces")
+        return trace
+
+    def end_trace(self, trace: QuicLoggerTrace) -> None:
+        self._traces.remove(trace)
+        self.count += 1
+        told = trace.to_dict()
+        # One number of this process in front: names sort by age, and no client chooses them alone.
+        path = self.folder / f"{self.count:08d}-{told['common_fields']['ODCID']}{SUFFIX}"
+        made = {"qlog_format": "JSON", "qlog_version": "0.3", "traces": [told]}
+        try:
+            path.write_text(json.dumps(made))
+        except OSError as error:
+            self.stats.count("quic_traces_failed")
+            log.warning("a trace was not written", error=str(error))
+            return
+        self._trim()
+
+    def _trim(self) -> None:
+        kept = 0
+        found = []
+        for path in self.folder.glob(f"*{SUFFIX}"):
+            with contextlib.suppress(OSError):
+                seen = path.stat()
+                found.append((seen.st_mtime_ns, seen.st_size, path))
+        for _, size, path in sorted(found, reverse=True):
+            kept += size
+            if kept > self.most:
+                with contextlib.suppress(OSError):
+                    path.unlink()
+                    self.stats.count("quic_traces_removed")
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import json
 import os
 import re
 import select
@@ -27,13 +28,13 @@
 from tests.world import BUSY_MACHINE, Backend, World, free_port, fresh_id, wait_for, world
 
 
-def make_certificate(folder: Path) -> None:
+def make_certificate(folder: Path, days: int = 1) -> None:
     key = ec.generate_private_key(ec.SECP256R1())
     name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "localhost")])
     now = datetime.datetime.now(datetime.UTC)
     builder = x509.CertificateBuilder(name, name, key.public_key(), x509.random_serial_number())
     builder = builder.not_valid_before(now - datetime.timedelta(days=1))
-    made = builder.not_valid_after(now + datetime.timedelta(days=1)).sign(key, hashes.SHA256())
+    made = builder.not_valid_after(now + datetime.timedelta(days=days)).sign(key, hashes.SHA256())
     (folder / "cert.pem").write_bytes(made.public_bytes(serialization.Encoding.PEM))
     private = key.private_bytes(
         serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
@@ -396,6 +397,50 @@
             assert any(name.startswith("quic_dropped_") or name == "quic_resets" for name in n.counters())
 
 
+def test_a_new_certificate_is_shown_to_who_comes_next(tmp_path: Path) -> None:
+    with quic_world(tmp_path, [Backend("a")]) as (w, port):
+
+        def shown(c: QuicClient) -> int:
+            certificate = c.quic.tls._peer_certificate
+            assert certificate is not None
+            return certificate.serial_number
+
+        def reload(counter: str, count: str) -> None:
+            w.process.send_signal(signal.SIGHUP)
+            wait_for(lambda: w.counters().get(counter) == count)
+
+        old = QuicClient(port)
+        assert old.ask() == "UP a" and "ends soon" in w.log.read_text()
+        make_certificate(tmp_path, 90)
+        reload("quic_certificates", "1")
+        new = QuicClient(port)
+        assert shown(new) != shown(old) and float(w.counters()["quic_certificate_days"]) > 89
+        pem = (tmp_path / "key.pem").read_bytes()
+        make_certificate(tmp_path)  # a certificate that is not this key's; then none at all
+        (tmp_path / "key.pem").write_bytes(pem)
+        reload("quic_certificates_refused", "1")
+        (tmp_path / "cert.pem").unlink()
+        reload("quic_certificates_refused", "2")
+        assert shown(QuicClient(port)) == shown(new)
+        old.send(b"untouched\r\n")
+        assert old.line() == "untouched"
+
+
+def test_traces_and_secrets_are_written_where_the_operator_says(tmp_path: Path) -> None:
+    more = f'qlog = "{tmp_path}/qlog"\nkeylog = "{tmp_path}/keys.log"'
+    with quic_world(tmp_path, [Backend("a")], more) as (w, port):
+        c = QuicClient(port)
+        assert c.ask() == "UP a"
+        c.send(b"BYE\r\n", end=True)
+        wait_for(lambda: list((tmp_path / "qlog").glob("*.sqlog.json")), 10.0)
+        (path,) = (tmp_path / "qlog").iterdir()
+        (trace,) = json.loads(path.read_text())["traces"]
+        assert any(e["name"] == "transport:packet_received" for e in trace["events"])
+        assert "BYE" not in path.read_text()
+        assert "CLIENT_TRAFFIC_SECRET_0" in (tmp_path / "keys.log").read_text()
+        assert w.counters()["quic_traces"] == "1"
+
+
 def test_much_data_both_ways_stays_whole(tmp_path: Path) -> None:
     b = Backend("a")
     with quic_world(tmp_path, [b]) as (_, port):
