QUIC: each stream of a connection is a session, with its own answer and its own code

A connection carried one session, and a client with several slots opened as many connections. Now each of its bidirectional streams is one: a req and a final answer of its own, flow control held back stream by stream, 32 at once, its code told by STOP_SENDING or RESET_STREAM where the connection has had several and by the connection's close where it had one, as before. What is said on a stream that its client has just reset is dropped, where aioquic takes it for its user's mistake.

--- a/conformance/quic/client.py
+++ b/conformance/quic/client.py
@@ -85,6 +85,7 @@
         self.sock = self.socket()
         self.data: dict[int, bytes] = {}
         self.ended: set[int] = set()
+        self.codes: dict[int, int] = {}  # of STOP_SENDING and RESET_STREAM, by stream
         self.shook = False
         self.reset = False
         self.sent = self.received = 0  # octets
@@ -154,6 +155,8 @@
                     self.data[event.stream_id] = self.data.get(event.stream_id, b"") + event.data
                     if event.end_stream:
                         self.ended.add(event.stream_id)
+                case events.StopSendingReceived() | events.StreamReset():
+                    self.codes[event.stream_id] = event.error_code
                 case _:
                     pass
 
--- a/gradegap/quic/channel.py
+++ b/gradegap/quic/channel.py
@@ -1,46 +1,24 @@
-"""One QUIC connection as the channel of one client session."""
+"""One QUIC connection: its packets, its ids, and the sessions that its streams are."""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from enum import IntEnum
 from typing import Any, Protocol
 
 from aioquic.quic import events
 
 from gradegap.core import Core
-from gradegap.net.client_session import FIRST_LINE_WAIT, HIGH_WATER, LINGER, ClientSession, Ending, Resuming
-from gradegap.quic.connection import STREAM, HeldConnection
+from gradegap.net.client_session import FIRST_LINE_WAIT, LINGER, Resuming
+from gradegap.quic.connection import HeldConnection
+from gradegap.quic.stream import CloseCode, StreamChannel
 from gradegap.quic.tokens import Tokens
 from gradegap.stats import Stats
 
-OVERRUN = 8 * 1024 * 1024  # bytes waiting for a client beyond which its connection is given up
-DRAIN_CHECK = 0.02  # s between two looks whether a paused backend may go on
 HANDSHAKE_WAIT = FIRST_LINE_WAIT  # s that a handshake may take; with the first line behind it no longer
-
-
-class CloseCode(IntEnum):
-    """Application error codes of a connection's end: what the last line said."""
-
-    SERVED = 0x0
-    REFUSED = 0x1
-    FAILED = 0x2
-    BAD_LINE = 0x3
-    MOVED = 0x4
-    RESET = 0x5
-    OVERRUN = 0x6
-    LEAVING = 0x7
-
-
-CODES = {
-    Ending.SERVED: CloseCode.SERVED,
-    Ending.REFUSED: CloseCode.REFUSED,
-    Ending.FAILED: CloseCode.FAILED,
-    Ending.BAD: CloseCode.BAD_LINE,
-    Ending.MOVED: CloseCode.MOVED,
-    Ending.RESET: CloseCode.RESET,
-}
+MOST_STREAMS = 32  # sessions of one connection at once
+MOST_EVER = 5000  # sessions of one connection in all; then it begins no more, and its client comes anew
+STREAMS_LATER = 5.0  # s in which a client that has had several sessions may begin another
 
 
 class Front(Protocol):
@@ -57,10 +35,11 @@
     def issue(self, connection_id: bytes, channel: QuicChannel) -> None: ...
     def retire(self, connection_id: bytes, channel: QuicChannel) -> None: ...
     def over(self, channel: QuicChannel) -> None: ...
+    def room(self) -> bool: ...
 
 
 class QuicChannel:
-    """One QUIC connection: the channel of one client session."""
+    """One client's connection."""
 
     def __init__(self, front: Front, connection: HeldConnection, address: Any) -> None:
         self.front = front
@@ -69,16 +48,56 @@
         self.address = address
         self.ids: set[bytes] = set()
         self.first: tuple[bytes, Any] = (b"", None)  # the id that the client chose, and where it came from
-        self.session: ClientSession | None = None
+        self.streams: dict[int, StreamChannel] = {}  # whose sessions are not over
+        self.over: set[int] = set()  # streams whose sessions are
+        self.sessions = 0  # that it has had
+        self.shook = False
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
         self.flushing = False
-        self.closing = False  # our side of the stream has ended
-        self.spoken = False  # the client has opened the stream: before that nothing can be said on it
         self.gone = False
-        self.full = False  # the backend is not read while the client is slow
         self.began = self.loop.time()
-        self.handshake = self.loop.call_later(HANDSHAKE_WAIT, self._handshake_late)
+        self.waiting = self.loop.call_later(HANDSHAKE_WAIT, self._handshake_late)  # for what must come next
+
+    # As a stream sees it
+
+    @property
+    def core(self) -> Core:
+        return self.front.core
+
+    @property
+    def stats(self) -> Stats:
+        return self.front.stats
+
+    @property
+    def resuming(self) -> Resuming | None:
+        return self.front.resuming
+
+    def ready(self) -> bool:
+        return self.front.ready()
+
+    def ended(self, stream: StreamChannel, code: CloseCode) -> None:
+        """A session is over, and the client has all that was said in it. With its only one the connection
+        ends too; a client that has had several may begin another for a while."""
+        if self.streams.pop(stream.number, None) is not None:
+            self.over.add(stream.number)
+        if self.gone:
+            return
+        if self.sessions == 1:
+            self.abort(code)
+            return
+        if not stream.client_ended:
+            self.connection.stop(stream.number, code)
+        self.flush_soon()
+        if not self.streams:
+            self.waiting.cancel()
+            self.waiting = self.loop.call_later(STREAMS_LATER, self._no_more, code)
+
+    def _no_more(self, code: CloseCode) -> None:
+        if not self.streams:
+            self.abort(code)
+
+    # Packets
 
     def receive(self, data: bytes, address: Any) -> bool:
         """False for a first packet that can't be opened: then there is no connection."""
@@ -90,7 +109,7 @@
         if now_at != self.address:
             # The same session at a new address: aioquic validates the path before it is used in full.
             self.address = now_at
-            self.front.stats.count("quic_migrations")
+            self.stats.count("quic_migrations")
         self.run()
         return True
 
@@ -101,57 +120,84 @@
         self.flush()
 
     def _event(self, event: events.QuicEvent) -> None:
-        if isinstance(event, events.StreamDataReceived):
-            self._stream_data(event)
-        elif isinstance(event, events.ConnectionIdIssued):
-            self.front.issue(event.connection_id, self)
-        elif isinstance(event, events.ConnectionIdRetired):
-            self.front.retire(event.connection_id, self)
-        elif isinstance(event, events.HandshakeCompleted):
-            self.handshake.cancel()
-            self.front.stats.count("quic_handshakes")
-            # Proves this address next time, without a Retry.
-            self.connection.offer = self.front.tokens.new(self.address, time.time())
-            spent = self.loop.time() - self.began
-            self.session = ClientSession(self.front.core, self.front.stats, self, self.front.ready, spent)
-            self.session.resuming = self.front.resuming
-        elif isinstance(event, events.StreamReset):
-            if self.session is not None and event.stream_id == STREAM:
-                self.session.lost(reset=True)
-        elif isinstance(event, events.ConnectionTerminated):
-            self._terminated(event.error_code != 0)
+        match event:
+            case events.StreamDataReceived():
+                self._stream_data(event)
+            case events.ConnectionIdIssued():
+                self.front.issue(event.connection_id, self)
+            case events.ConnectionIdRetired():
+                self.front.retire(event.connection_id, self)
+            case events.HandshakeCompleted():
+                self._shook()
+            case events.StreamReset() | events.StopSendingReceived():
+                stream = self.streams.get(event.stream_id)
+                if stream is not None:
+                    stream.broken()
+            case events.ConnectionTerminated():
+                self._terminated(event.error_code != 0)
+            case _:
+                pass
+
+    def _shook(self) -> None:
+        self.shook = True
+        self.stats.count("quic_handshakes")
+        # Proves this address next time, without a Retry.
+        self.connection.offer = self.front.tokens.new(self.address, time.time())
+        self.waiting.cancel()
+        left = max(0.0, FIRST_LINE_WAIT - (self.loop.time() - self.began))
+        self.waiting = self.loop.call_later(left, self._never_spoke)
 
     def _stream_data(self, event: events.StreamDataReceived) -> None:
-        if event.stream_id != STREAM:
-            # One stream is the session's; what comes on others has no meaning here.
-            self.front.stats.count("quic_other_streams")
-            self.connection.stop_stream(event.stream_id, CloseCode.BAD_LINE)
-            return
-        if self.session is None or self.closing:
-            return
-        self.spoken = True
-        if event.data:
-            self.session.data(event.data)
-        if event.end_stream:
-            self.session.eof()
+        stream = self.streams.get(event.stream_id)
+        if stream is None:
+            stream = self._opened(event)
+        if stream is not None:
+            stream.data(event.data, event.end_stream)
+
+    def _opened(self, event: events.StreamDataReceived) -> StreamChannel | None:
+        """A stream that is none of the sessions under way: another session's, or nobody's."""
+        number = event.stream_id
+        if number % 4:
+            # Streams of one direction have no meaning here.
+            self.stats.count("quic_other_streams")
+            self.connection.stop(number, CloseCode.BAD_LINE)
+            return None
+        if number in self.over:
+            return None  # the rest of one
+        if len(self.streams) >= MOST_STREAMS or len(self.over) >= MOST_EVER or not self.front.room():
+            # Guards against one client with a connection's worth of memory for each of its streams.
+            self.stats.count("quic_streams_refused")
+            if len(self.over) < 2 * MOST_EVER:
+                self.over.add(number)
+            self.connection.stop(number, CloseCode.REFUSED)
+            self.connection.reset(number, CloseCode.REFUSED)
+            return None
+        self.waiting.cancel()
+        spent = self.loop.time() - self.began if not self.sessions else 0.0
+        self.sessions += 1
+        made = self.streams[number] = StreamChannel(self, number, spent)
+        return made
+
+    # The end
 
     def _terminated(self, reset: bool) -> None:
         if self.gone:
             return
         self.gone = True
-        self.handshake.cancel()
+        self.waiting.cancel()
         if self.timer is not None:
             self.timer.cancel()
         self.front.over(self)
-        if self.session is not None:
-            self.session.lost(reset=reset)
+        streams, self.streams = self.streams, {}
+        for stream in streams.values():
+            stream.session.lost(reset=reset)
 
     def forget(self) -> None:
         """Nothing came of it: no word to its client, who may never have asked."""
         self._terminated(True)
 
     def _handshake_late(self) -> None:
-        self.front.stats.count("quic_handshakes_late")
+        self.stats.count("quic_handshakes_late")
         if not self.connection.proven():
             # Guards whoever has that address, and may have said nothing: a close is one more answer to it,
             # and aioquic does not count it into the three times of what came (RFC 9000, 8.1).
@@ -161,6 +207,19 @@
         # Guards against first packets that nothing can be made of: their connection has no way to end.
         self.loop.call_later(LINGER, self._terminated, True)
 
+    def _never_spoke(self) -> None:
+        """Guards against clients that shake hands and say nothing; there is no stream to answer on."""
+        self.stats.count("late_first_lines")
+        self.stats.count("quic_closed_bad_line")
+        self.abort(CloseCode.BAD_LINE)
+
+    def abort(self, code: CloseCode) -> None:
+        if not self.gone:
+            self.connection.close(error_code=code, reason_phrase=code.name.lower())
+            self.flush_soon()
+
+    # What is to be sent
+
     def flush(self) -> None:
         now = self.loop.time()
         for data, address in self.connection.datagrams_to_send(now=now):
@@ -177,7 +236,7 @@
         self.connection.handle_timer(now=self.loop.time())
         self.run()
 
-    def _flush_soon(self) -> None:
+    def flush_soon(self) -> None:
         if not self.flushing:
             self.flushing = True
             self.loop.call_soon(self._flush_now)
@@ -186,75 +245,6 @@
         self.flushing = False
         self.flush()
 
-    # The channel of the session
-
-    def pinged(self) -> None:
-        pass
-
-    def opened(self) -> None:
-        pass
-
-    def write(self, data: bytes) -> None:
-        if self.gone or self.closing or not self.spoken:
-            return
-        self.connection.send_stream_data(STREAM, data)
-        self._flush_soon()
-        waiting = self.connection.unsent()
-        if waiting > OVERRUN:
-            self.front.stats.count("quic_overrun")
-            self.abort(CloseCode.OVERRUN)
-        elif waiting > HIGH_WATER and not self.full and self.session is not None:
-            self.full = True
-            self.session.drained(full=True)
-            self.loop.call_later(DRAIN_CHECK, self._look_drained)
-
-    def _look_drained(self) -> None:
-        if self.gone or self.session is None:
-            return
-        if self.connection.unsent() > HIGH_WATER // 4:
-            self.loop.call_later(DRAIN_CHECK, self._look_drained)
-        else:
-            self.full = False
-            self.session.drained(full=False)
-
-    def pause(self) -> None:
-        self.connection.held = True
-
-    def resume(self) -> None:
-        if self.connection.held:
-            self.connection.held = False
-            if not self.gone:
-                self.connection.send_ping(0)  # something to carry the raised windows
-                self._flush_soon()
-
-    def close(self, ending: Ending) -> None:
-        """End our side, and the connection once the client has all that was said, with its code."""
-        if self.gone or self.closing:
-            return
-        self.closing = True
-        code = CODES[ending]
-        self.front.stats.count(f"quic_closed_{code.name.lower()}")
-        if not self.spoken:
-            # Guards against clients that shake hands and then say nothing: the code alone tells them.
-            self.abort(code)
-            return
-        if ending is Ending.RESET:
-            self.connection.reset_stream(STREAM, code)
-            self.abort(code)
-            return
-        self.connection.send_stream_data(STREAM, b"", end_stream=True)
-        self._flush_soon()
-        self._close_delivered(code, self.loop.time() + LINGER)
-
-    def _close_delivered(self, code: CloseCode, latest: float) -> None:
-        if self.gone:
-            return
-        if self.connection.delivered() or self.loop.time() >= latest:
-            self.abort(code)
-        else:
-            self.loop.call_later(DRAIN_CHECK, self._close_delivered, code, latest)
-
-    def abort(self, code: CloseCode) -> None:
-        if not self.gone:
-            self.connection.close(error_code=code, reason_phrase=code.name.lower())
-            self._flush_soon()
+    def answering(self) -> bool:
+        """Whether its client may still lack the end of what was said to it."""
+        return not self.gone and any(s.session.opening for s in self.streams.values())
--- a/gradegap/quic/connection.py
+++ b/gradegap/quic/connection.py
@@ -14,7 +14,6 @@
 from aioquic.quic.packet import QuicFrameType
 from aioquic.quic.packet_builder import QuicDeliveryState
 
-STREAM = 0  # the client's first bidirectional stream carries the session
 MOST_IDS = 8  # of one connection at once
 TOKEN_FRAME = 1 + 8  # octets of a NEW_TOKEN frame beside the token
 
@@ -24,7 +23,8 @@
 
 
 class HeldConnection(QuicConnection):
-    """Its flow-control windows are not raised while its backend can't take more.
+    """A stream's flow-control window is not raised while its backend can't take more; the connection's is not
+    while that is so of all.
 
     Guards against a client that sends faster than its backend reads: aioquic raises windows by what has
     arrived, not by what was taken on, and has no public call to hold them.
@@ -45,7 +45,7 @@
             retry_source_connection_id=retried,
         )
         self.make_id, self.reset_token = make_id, reset_token
-        self.held = False
+        self.held: set[int] = set()  # streams whose sessions take no more
         self.offer = b""  # a token for the client's next connection, until it has it
         cid = make_id()
         self._host_cids[0] = QuicConnectionId(cid, 0, reset_token(cid), True)
@@ -68,7 +68,7 @@
             )
             frame.push_uint_var(len(token))
             frame.push_bytes(token)
-        if not self.held:
+        if not self.held or len(self.held) < self.open():
             super()._write_connection_limits(builder, space)
 
     def _token_delivered(self, state: QuicDeliveryState, token: bytes) -> None:
@@ -76,7 +76,7 @@
             self.offer = token  # lost: once more
 
     def _write_stream_limits(self, builder: Any, space: Any, stream: Any) -> None:
-        if not self.held:
+        if stream.stream_id not in self.held:
             super()._write_stream_limits(builder, space, stream)
 
     def proven(self) -> bool:
@@ -87,12 +87,38 @@
         """Where the client is, by the last packet of its that could be opened; None before the first."""
         return self._network_paths[0].addr if self._network_paths else None
 
-    def unsent(self) -> int:
-        """Bytes of the session's stream that the client has not acknowledged."""
-        stream = self._streams.get(STREAM)
+    # Of a stream that is over nothing can be said, which aioquic takes for its user's mistake. Here it is a
+    # matter of timing: the client has reset it, or stopped listening, a moment before.
+
+    def say(self, number: int, data: bytes, end: bool = False) -> None:
+        stream = self._streams.get(number)
+        if (
+            stream is not None
+            and stream.sender._buffer_fin is None
+            and stream.sender._reset_error_code is None
+        ):
+            self.send_stream_data(number, data, end_stream=end)
+
+    def stop(self, number: int, code: int) -> None:
+        """Hear no more of it."""
+        if number in self._streams:
+            self.stop_stream(number, code)
+
+    def reset(self, number: int, code: int) -> None:
+        """Say no more on it."""
+        if number in self._streams:
+            self.reset_stream(number, code)
+
+    def open(self) -> int:
+        """How many of the client's streams there are."""
+        return sum(1 for number in self._streams if number % 4 == 0)
+
+    def unsent(self, number: int) -> int:
+        """Bytes of a stream that the client has not acknowledged."""
+        stream = self._streams.get(number)
         return 0 if stream is None else len(stream.sender._buffer)
 
-    def delivered(self) -> bool:
-        """Whether the client has all of the session's stream, its end included."""
-        stream = self._streams.get(STREAM)
+    def delivered(self, number: int) -> bool:
+        """Whether the client has all of a stream, its end included."""
+        stream = self._streams.get(number)
         return stream is None or stream.sender.is_finished
--- a/gradegap/quic/front.py
+++ b/gradegap/quic/front.py
@@ -25,12 +25,13 @@
 from gradegap.core import Core
 from gradegap.net.client_session import Resuming
 from gradegap.operator_file import QuicSettings
-from gradegap.quic.channel import CloseCode, QuicChannel
+from gradegap.quic.channel import QuicChannel
 from gradegap.quic.connection import HeldConnection
 from gradegap.quic.credentials import SOON, read
 from gradegap.quic.keys import NONCE, RING, SERVER, Holder, Keys, QuicRing
 from gradegap.quic.relay import Inlet, Relay, pair
 from gradegap.quic.routing import RESET_LEAST, Bucket, Route, Router, Way
+from gradegap.quic.stream import CloseCode
 from gradegap.quic.tokens import BadToken, Tokens
 from gradegap.quic.trace import Traces
 from gradegap.stats import Stats
@@ -107,13 +108,20 @@
             log.warning("secrets of all QUIC sessions are written to a file", keylog=settings.keylog)
         self.configuration = self._configured()
         self._warn_of_end()
-        stats.gauge("quic_sessions", lambda: len(self.channels))
+        stats.gauge("quic_connections", lambda: len(self.channels))
+        stats.gauge("quic_sessions", self.sessions)
         stats.gauge("quic_ids", lambda: len(self.routes))
         stats.gauge("quic_certificate_days", self._days_left)
 
     def set_most(self, value: int) -> None:
         self.most = value
 
+    def sessions(self) -> int:
+        return sum(len(c.streams) for c in self.channels)
+
+    def room(self) -> bool:
+        return self.accept and self.sessions() < self.most
+
     def set_accept(self, value: bool) -> None:
         self.accept = value
 
@@ -337,8 +345,8 @@
         self.send(bytes([0x40 | noise[0] & 0x3F]) + noise[1:] + token, addr)
 
     def _accept(self, route: Route, data: bytes, addr: Any) -> None:
-        under_way = sum(1 for c in self.channels if c.session is None)
-        if not self.accept or len(self.channels) >= self.most or under_way >= MOST_HANDSHAKES:
+        under_way = sum(1 for c in self.channels if not c.shook)
+        if not self.room() or len(self.channels) >= self.most or under_way >= MOST_HANDSHAKES:
             # Guards against floods of first packets: over the limit they are dropped, and may come again.
             self.stats.count("quic_crowded")
             return
@@ -385,7 +393,7 @@
 
     def answering(self) -> bool:
         """Whether a client may still lack the end of what was said to it."""
-        return any(c.session is not None and c.session.opening and not c.gone for c in self.channels)
+        return any(c.answering() for c in self.channels)
 
     def close(self) -> None:
         for channel in list(self.channels):
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -23,6 +23,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 
+from conformance.quic.client import Client
 from gradegap.quic.front import CloseCode
 from tests.lossy import Lossy
 from tests.test_console import call
@@ -476,6 +477,59 @@
         assert counters["taken"] == "10" and int(counters["quic_migrations"]) >= 5
 
 
+def test_streams_of_one_connection_are_sessions_of_their_own(tmp_path: Path) -> None:
+    a, b = Backend("a"), Backend("b")
+    with quic_world(tmp_path, [a, b]) as (w, port):
+        c = Client(("127.0.0.1", port), "gradegap/1")
+        numbers = [4 * k for k in range(8)]
+        for n in numbers:
+            c.quic.send_stream_data(n, f"OPEN {fresh_id()} k{n} c=live,d=1500,g={n}\r\n".encode())
+        c.until(lambda: all(b"\n" in c.data.get(n, b"") for n in numbers), "an answer to each")
+        servers = {n: c.data[n].decode().strip() for n in numbers}
+        assert set(servers.values()) == {"UP a", "UP b"} and w.counters()["taken"] == "8"
+        c.hop()
+        for n in numbers:
+            assert c.answered(b"hello %d\r\n" % n, n).endswith(b"hello %d\r\n" % n)
+        # One that the client ends, and one that its backend breaks, end alone.
+        ended = next(n for n in numbers if servers[n] == "UP a")
+        broken = next(n for n in numbers if servers[n] == "UP b")
+        c.quic.send_stream_data(ended, b"", end_stream=True)
+        c.until(lambda: ended in c.ended, "the end of its stream")
+        c.quic.send_stream_data(broken, b"reset\r\n")
+        c.until(lambda: broken in c.codes, "a reset of its stream")
+        assert c.codes[broken] == CloseCode.RESET
+        # A refusal is one session's too, with its code; another first line can't be read.
+        a.answer = b.answer = "BUSY"
+        for n, line in ((100, f"OPEN {fresh_id()} k c=live,d=300"), (104, "NONSENSE")):
+            c.quic.send_stream_data(n, line.encode() + b"\r\n")
+        c.until(lambda: {100, 104} <= c.codes.keys(), "codes of both")
+        assert (c.codes[100], c.codes[104]) == (CloseCode.REFUSED, CloseCode.BAD_LINE)
+        assert c.data[100].startswith(b"BUSY") and c.data[104] == b"ERR\r\n"
+        # A drain moves those of its server, and no others.
+        left = [n for n in numbers if n not in (ended, broken)]
+        w.director.tell(a, state="Terminating")
+        on_a = [n for n in left if servers[n] == "UP a"]
+        c.until(lambda: all(c.data[n].endswith(b"MOVE\r\n") for n in on_a), "MOVE to each", 5.0)
+        for n in left:
+            if n not in on_a:
+                assert c.answered(b"still here\r\n", n).endswith(b"still here\r\n")
+        c.until(lambda: w.counters()["quic_sessions"] == str(len(left) - len(on_a)), "the end of the others")
+        assert not c.closed
+        assert w.counters()["quic_connections"] == "1"
+
+
+def test_more_streams_than_one_client_may_have_are_refused_one_by_one(tmp_path: Path) -> None:
+    with quic_world(tmp_path, [Backend("a")]) as (w, port):
+        c = Client(("127.0.0.1", port), "gradegap/1")
+        numbers = [4 * k for k in range(40)]
+        for n in numbers:
+            c.quic.send_stream_data(n, b"PING\r\n")
+        c.until(lambda: len(c.codes) == 8, "refusals")
+        assert {c.codes[n] for n in numbers[32:]} == {CloseCode.REFUSED}
+        c.until(lambda: all(c.data.get(n) == b"PONG\r\n" for n in numbers[:32]), "answers to the others")
+        assert w.counters()["quic_streams_refused"] == "8"
+
+
 def test_much_data_both_ways_stays_whole(tmp_path: Path) -> None:
     b = Backend("a")
     with quic_world(tmp_path, [b]) as (_, port):
@@ -498,7 +552,7 @@
     with quic_world(tmp_path, [Backend("a")]) as (w, port):
         c = QuicClient(port)
         assert c.code() is CloseCode.BAD_LINE and c.data == b""
-        wait_for(lambda: w.counters()["quic_sessions"] == "0")
+        wait_for(lambda: w.counters()["quic_connections"] == "0")
         assert w.counters()["late_first_lines"] == "1"
 
 
@@ -508,9 +562,9 @@
             for _ in range(20):
                 head = b"\xc0\x00\x00\x00\x01\x08" + os.urandom(8) + b"\x08" + os.urandom(8) + b"\x00"
                 stranger.sendto(head + b"\x44\xb0" + os.urandom(1200), ("127.0.0.1", port))
-        wait_for(lambda: int(w.counters()["quic_sessions"]) == 20)
+        wait_for(lambda: int(w.counters()["quic_connections"]) == 20)
         assert QuicClient(port).ask() == "UP a"
-        wait_for(lambda: int(w.counters()["quic_sessions"]) == 1, 10.0)
+        wait_for(lambda: int(w.counters()["quic_connections"]) == 1, 10.0)
         assert w.counters()["quic_ids"] == "8"  # the client's own first one stands apart
 
 
--- a/tests/test_quic_conformance.py
+++ b/tests/test_quic_conformance.py
@@ -44,7 +44,7 @@
         ("import gradegap.quic.tokens as t; t.Tokens.proven = lambda *a: b'12345678'", "is taken as none"),
         (
             "import gradegap.quic.channel as c; c.QuicChannel.receive = "
-            "lambda s, d, a: a == s.address and (s.connection.receive_datagram(d, a, 0.0), s.run())",
+            "lambda s, d, a, plain=c.QuicChannel.receive: a == s.address and plain(s, d, a)",
             "with a new id, goes on",
         ),
     ],
