--- a/bench/captures.py
+++ b/bench/captures.py
@@ -38,12 +38,15 @@
         self.speaks = threading.Event()
         self.speaks.set()
         self.held: set[socket.socket] = set()
+        self.dead = False
         super().__init__(name)
 
     def _serve(self, sock: socket.socket) -> None:
         try:
             for raw in sock.makefile("rb"):
                 self.speaks.wait()
+                if self.dead:
+                    break
                 if raw.startswith(b"STATS"):
                     count = len(self.held)
                     sock.sendall(b"PONG x0=%.4f,inflight=%d\r\n" % (count / self.capacity, count))
@@ -62,6 +65,7 @@
             sock.close()
 
     def die(self) -> None:
+        self.dead = True
         self.stop()
         for sock in list(self.held):
             with contextlib.suppress(OSError):
--- a/tests/resume_world.py
+++ b/tests/resume_world.py
@@ -60,6 +60,7 @@
 
     def __init__(self, name: str, store: SaveStore, knows: bool = True) -> None:
         self.store, self.knows, self.dies = store, knows, ""
+        self.dead = False
         self.frozen = threading.Event()
         self.frozen.set()
         super().__init__(name)
@@ -82,6 +83,8 @@
             if window is None:
                 sock.sendall(b"ERR\r\n")
                 return
+            if self.dead:
+                return
             if self.dies == "silent":
                 file.read()
                 return
@@ -104,6 +107,7 @@
     def die(self) -> None:
         """As when its process is killed: every connection is reset, whatever was under way, and none is
         taken."""
+        self.dead = True  # what still comes in, before its reader is awake, is read by nobody
         self.stop()
         for sock in list(self.standing):
             with contextlib.suppress(OSError):
@@ -122,6 +126,8 @@
     ) -> None:
         for raw in file:  # type: ignore[attr-defined]
             self.frozen.wait()
+            if self.dead:
+                return
             line = lines.read(raw.rstrip(b"\r\n"))
             if isinstance(line, Seen):
                 window.acknowledge(line.number)
