Read again: one search for where a part of a capture begins, an index read once by cut

seek looked for the state before a clock and then, for a req or server, threw that away for another search; cut loaded the whole index for the clock of the first frame, which seek then loaded again.

--- a/gradegap/capture/commands.py
+++ b/gradegap/capture/commands.py
@@ -100,8 +100,7 @@
 ) -> None:
     """A part of a capture that can be replayed by itself: from the state before `--from` to `--to`."""
     data = whole(file)
-    entries = index.load(data)
-    base = entries[0].at if entries else 0.0
+    base = next((f.at for f in frames.read(data) if not isinstance(f, Damage)), 0.0)
     since = since + base if abs(since) < 1e6 else since
     until = until + base if abs(until) < 1e6 else until
     part = index.seek(data, since, until)
--- a/gradegap/capture/index.py
+++ b/gradegap/capture/index.py
@@ -174,8 +174,10 @@
     first_state = next((k for k, e in enumerate(found) if e.kind is Kind.STATE), None)
     if first_state is None:
         return b""
-    last = max((k for k, e in enumerate(found) if e.at <= until), default=-1)
-    if req is not None or server is not None:
+    if req is None and server is None:
+        last = max((k for k, e in enumerate(found) if e.at <= until), default=-1)
+        states = [k for k, e in enumerate(found) if e.kind is Kind.STATE and e.at <= since]
+    else:
         held = [
             k
             for k, e in enumerate(found)
@@ -187,13 +189,10 @@
         ]
         if not held:
             return b""
-        since, last = found[held[0]].at, held[-1]
-    begin = max(
-        (k for k, e in enumerate(found) if e.kind is Kind.STATE and e.at <= since), default=first_state
-    )
-    # A state is recorded between two steps of one clock: what is asked for must be behind it.
-    if req is not None or server is not None:
-        begin = max((k for k in range(held[0]) if found[k].kind is Kind.STATE), default=first_state)
+        last = held[-1]
+        # By place and not by clock: a state may bear the clock of the steps before it.
+        states = [k for k in range(held[0]) if found[k].kind is Kind.STATE]
+    begin = states[-1] if states else first_state
     if begin > last:
         return b""
     start: Any = None
