--- a/gradegap/capture/recorder.py
+++ b/gradegap/capture/recorder.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import errno
 import hashlib
 import os
 import time
@@ -106,6 +107,7 @@
         self.under_way = 0  # batches and states that the thread has not written
         self.dropped = 0  # steps since the last mark
         self.state_at = 0.0  # steady time at which a state is due
+        self.forks = True  # False once the system has said that it makes no processes (ENOSYS, EPERM)
         self.closed = False
         self.thread = ThreadPoolExecutor(1, "capture")
         self.timer: asyncio.TimerHandle | None = None
@@ -178,10 +180,16 @@
         self.state_at = now + self.settings.state_s
         decides_by = records.plain_settings(self.decides_by)
         start = self.about | {"settings": decides_by, "made": time.time()}
-        if snapshot.size(self.balancer) > snapshot.SMALL:
+        if self.forks and snapshot.size(self.balancer) > snapshot.SMALL:
             try:
                 child = snapshot.begin(self.balancer)
             except OSError as error:
+                if error.errno in (errno.ENOSYS, errno.EPERM):
+                    # Guards against a fork asked for at every tick where a filter refuses them all (the
+                    # fleet's platform): from here on the state is walked in place, as for a small module.
+                    self.forks = False
+                    self.stats.count("capture_forks_refused")
+                    log.warning("processes are refused; states are walked in place", error=str(error))
                 # Guards the node, which a walk in place would hold up: no state until there is a process.
                 self._lost(error)
             else:
--- a/tests/test_quic.py
+++ b/tests/test_quic.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 from aioquic.quic import events
@@ -125,7 +126,7 @@
 
 @contextmanager
 def quic_world(
-    folder: Path, backends: list[Backend], more: str = "", at: int = 0, **config: str
+    folder: Path, backends: list[Backend], more: str = "", at: int = 0, **config: Any
 ) -> Iterator[tuple[World, int]]:
     make_certificate(folder)
     port = at or free_port(socket.SOCK_DGRAM)
--- /dev/null
+++ b/tests/test_refused.py
@@ -0,0 +1,55 @@
+"""The node as the fleet bench starts it: fork, programs, io_uring, splice, sendfile and IPv6 refused.
+
+The refusals are made by `tests/refused.py`, a seccomp filter on the node's own process; nobody comes to its
+Unix sockets. The node must start, serve, be replaced by SIGTERM and end as usual, with its handover's socket
+and a capture asked for, which are the parts of it that could fork or wait on a Unix socket.
+"""
+
+from __future__ import annotations
+
+import platform
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.world import ROOT, Backend, wait_for, world
+
+pytestmark = pytest.mark.skipif(platform.machine() != "x86_64", reason="the filter is written for x86_64")
+LAUNCHER = [str(ROOT / "tests" / "refused.py")]
+
+
+def test_a_node_under_the_fleets_filter_serves_and_ends(tmp_path: Path) -> None:
+    b = Backend("a")
+    capture = f'[capture]\nfolder = "{tmp_path / "capture"}"\nstate_s = 1.0\n'
+    env = {"TMPDIR": str(tmp_path)}  # the handover's socket is made, and nobody comes to it
+    with world(tmp_path, [b], capture, env, launcher=LAUNCHER) as w:
+        clients = [w.client() for _ in range(450)]  # more than a state walked in place: one would be forked
+        assert {c.ask() for c in clients} == {"UP a"}
+        wait_for(lambda: "processes are refused" in w.log.read_text(), 10.0)
+        before = int(w.counters().get("capture_bytes", 0))
+        wait_for(
+            lambda: int(w.counters().get("capture_bytes", 0)) > before + 10_000, 10.0
+        )  # a state, in place
+        assert w.counters()["capture_forks_refused"] == "1"
+        c = w.client()
+        assert c.ask() == "UP a"
+        w.process.send_signal(signal.SIGTERM)
+        assert [c.line(), c.line()] == ["MOVE", ""]
+        assert w.process.wait(5) == 0
+    assert "Traceback" not in w.log.read_text()
+
+
+def test_the_filter_refuses_what_the_page_says() -> None:
+    """The stand-in itself: a planted fork, program or splice under it is refused, threads are not."""
+    probe = (
+        "import os, sys, threading, subprocess; sys.path.insert(0, sys.argv[1]); from tests import refused;"
+        "refused.install(); t = threading.Thread(target=print); t.start(); t.join(); r, w = os.pipe()\n"
+        "for call in (os.fork, lambda: subprocess.run(['true']), lambda: os.splice(r, w, 1)):\n"
+        "    try: call(); print('made')\n"
+        "    except OSError as e: print(e.errno)\n"
+    )
+    out = subprocess.run([sys.executable, "-c", probe, str(ROOT)], capture_output=True, text=True, timeout=30)
+    assert out.stdout.split() == ["38", "38", "22"], out.stderr
--- a/tests/world.py
+++ b/tests/world.py
@@ -238,6 +238,8 @@
         backends: list[Backend],
         operator: str | None = None,
         env: dict[str, str] | None = None,
+        *,
+        launcher: list[str] | None = None,
         **config: Any,
     ) -> None:
         self.backends = backends
@@ -255,7 +257,7 @@
             env["GRADEGAP_OPERATOR"] = str(folder / "operator.toml")
         self.log = folder / "node.log"
         with self.log.open("wb") as log:
-            command = [sys.executable, "-m", "gradegap"]
+            command = [sys.executable, *(launcher or ["-m", "gradegap"])]
             self.process = subprocess.Popen(command, env=env, cwd=ROOT, stdout=log, stderr=log)
 
     def client(self) -> Client:
@@ -285,9 +287,11 @@
     backends: list[Backend],
     operator: str | None = None,
     env: dict[str, str] | None = None,
+    *,
+    launcher: list[str] | None = None,
     **config: Any,
 ) -> Iterator[World]:
-    made = World(folder, backends, operator, env, **config)
+    made = World(folder, backends, operator, env, launcher=launcher, **config)
     try:
         wait_for(made.ready, 15.0)
         yield made
