A [trace] table writes every step of the decision module to the log

Change: gradegap/trace.py wraps the module as the capture's tap does and writes the settings once (JSON), then one line a step: the event and the actions, with the fields that differ from their defaults and long lists cut at 64. Service is untouched without the table.

--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import msgspec
 import structlog
@@ -92,6 +92,12 @@
         self.snapshot = Snapshot(private_file(setup.config, "snapshot"), self.stats)
         self.resuming: Resuming | None = self._make_resuming()
         self.capture = self._make_capture()
+        if self.operator.trace is not None and self.operator.trace.decisions:
+            from gradegap.trace import Trace
+
+            trace = Trace(self.core.balancer)
+            trace.settings(setup.settings)
+            self.core.balancer = cast(Any, trace)  # the core knows no difference
         self.core.out_changed = self._keep_out
         if self.operator.store is not None:
             self.core.gate = self._gate
--- a/gradegap/operator_file.py
+++ b/gradegap/operator_file.py
@@ -70,12 +70,19 @@
     hide: str = ""  # a file with a key: players' ids are recorded, and decided by, as a keyed hash
 
 
+class TraceSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """The `[trace]` table: every step of the decision module, one line each on standard error."""
+
+    decisions: bool = True
+
+
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
     quic: QuicSettings | None = None
     store: StoreSettings | None = None
     dnssd: DnsSdSettings | None = None
     resume: ResumeSettings | None = None
     capture: CaptureSettings | None = None
+    trace: TraceSettings | None = None
 
 
 class BadOperatorFile(ValueError):
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,40 @@
+"""The `[trace]` table: every step of the module on standard error, and the module none the wiser."""
+
+from __future__ import annotations
+
+import io
+
+import msgspec
+
+from gradegap import interface as api
+from gradegap.operator_file import OperatorSettings
+from gradegap.trace import Trace
+from tests.helpers import Driver, settings
+
+
+def test_each_step_is_one_line_with_what_went_in_and_came_out() -> None:
+    out = io.StringIO()
+    driver = Driver(servers=3)
+    driver.balancer = Trace(driver.balancer, out)  # type: ignore[assignment]
+    driver.request()
+    entries = tuple(api.ServerEntry(f"x{i}") for i in range(100))
+    driver.feed(api.ServerList(api.ListKind.DELTA, entries))
+    first, second = out.getvalue().splitlines()
+    assert first.startswith("step t=100.0000 in=Request[id=1 cls=live deadline_at=102] out=")
+    assert "Probe[server=" in first or "Send[id=1" in first
+    assert second.count("ServerEntry[") == 64 and second.endswith(",+36)] out=")
+
+
+def test_the_settings_are_written_as_json_at_the_start_and_at_each_change() -> None:
+    out = io.StringIO()
+    trace = Trace(Driver().balancer, out)
+    trace.settings(settings())
+    trace.adopt(settings(balancers=40))
+    lines = out.getvalue().splitlines()
+    assert [msgspec.json.decode(line.split(" ", 1)[1])["balancers"] for line in lines] == [10, 40]
+
+
+def test_the_table_is_read_from_the_operator_s_file() -> None:
+    read = msgspec.toml.decode(b"[trace]\n", type=OperatorSettings)
+    assert read.trace is not None and read.trace.decisions
+    assert msgspec.toml.decode(b"", type=OperatorSettings).trace is None
