An empty server's unit comes from the others by weight; rivals are what is sent

Change: _unit() gives an unknown unit as the mean of unit x weight seen over the server's weight, used by _has_room and _figure; came counts each attempt sent, in _send, and no longer arrivals or moved clients standing.

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -155,7 +155,7 @@
         self.born = NEVER
         self.usual = self.usual_at = 0.0
         self.began_with = 0
-        self.stood, self.came, self.lost = _Rate(), _Rate(), _Rate()  # what stood, came, or failed once sent
+        self.stood, self.came, self.lost = _Rate(), _Rate(), _Rate()  # what stood, was sent, failed once sent
         self.gaps, self.changes = REPORT_LAG, 1.0  # probed time and changed reports seen in it: their pace
         self.recent: deque[float] = deque()  # arrivals within fall_time
         self.tokens = PROBES_SAVED / 2
@@ -265,8 +265,6 @@
         while self.recent[0] < now - self.set.fall_time:
             self.recent.popleft()
         self._draw(r)
-        if not e.reconnect or self.owed >= 1.0:  # one that was another proxy's counts once it stands
-            self.came.add(now)
 
     def _key(self, e: api.Request) -> str:
         return (e.team or (e.key if self.set.passes else "")) if self.use_ring else ""
@@ -371,7 +369,7 @@
         if s.load is None:
             return None
         added = self._own(s) + (TEAM_LOADS if r.ring_key and r.ring_key not in s.teams else 0.0)
-        figure = s.load + s.unit * added
+        figure = s.load + self._unit(s) * added
         return figure if s.is_local else figure + self.cross
 
     def _has_room(self, s: _Server, worth: float) -> bool:
@@ -381,11 +379,11 @@
         chance that makes them, together, fill the room and not more."""
         age = self.now - s.seen_at
         # Guards against frozen reports: one older than any delay says nothing of room, so trust the draw.
-        if s.load is None or s.unit <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
+        if s.load is None or (unit := self._unit(s)) <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
             return True
-        load = s.load * self._growth() + s.unit * self._own(s)
+        load = s.load * self._growth() + unit * self._own(s)
         # The least worth is refused first.
-        room = (ROOM_TO - LOW_WORTH * (1.0 - worth / self.top_worth) - load) / s.unit
+        room = (ROOM_TO - LOW_WORTH * (1.0 - worth / self.top_worth) - load) / unit
         if room <= 0:
             return False
         pace = self._pace()
@@ -393,6 +391,13 @@
         rivals = 2.0 * self.came.get(self.now) * self.set.balancers * lag / max(1, len(self.ready))
         return rivals <= room or self.random() * rivals < room
 
+    def _unit(self, s: _Server) -> float:
+        """What one connection adds to a server's load. Guards against an empty server, whose reports can't
+        say it, that every proxy would fill at once: what is seen elsewhere, by weight, stands for it."""
+        if s.unit > 0 or not (known := [o.unit * o.weight for o in self.ready if o.unit > 0]):
+            return s.unit
+        return sum(known) / len(known) / max(s.weight, 1e-9)
+
     def _pace(self) -> float:
         """The time between two reports of a server, as probes have seen it."""
         return min(self.gaps / self.changes, 4 * REPORT_LAG)
@@ -469,6 +474,9 @@
         last = r.most - r.attempts <= 1 or self._excess() > 0
         timeout = left if last else max(min(left, r.cls.aim), left - r.cls.aim)
         r.attempts += 1
+        # What all proxies are about to give a server is what they send: arrivals refused put nothing on any,
+        # and clients moved elsewhere, who stand once more, put as much as any other.
+        self.came.add(self.now)
         r.out = True
         r.server = s
         r.best, r.redraws = None, 0
@@ -526,7 +534,6 @@
             self.owed -= 1.0
         elif r.again:  # no growth: it stood at another proxy, and the reports had it all along
             self.usual += 1.0
-            self.came.add(self.now)
         self._start_ticking()
 
     def _hold(self, s: _Server, r: _Req) -> None:
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -117,3 +117,54 @@
     again = node.handle(1.5, api.Outcome(1, 0, sends[0].server, api.Result.TIMEOUT, 1.5, False))
     last = [a for a in again if isinstance(a, api.Send)]
     assert [round(s.timeout, 6) for s in last] == [0.3]  # the aim is what is left, all of it
+
+
+def _sends_to_an_empty_server(requests: int = 240, over: float = 1.0) -> int:
+    """A proxy alone places `requests` clients in `over` s: nine large servers at half their capacity with 40
+    connections each, and s9, a third of their size and empty, as its reports go on saying while they lag."""
+    from tests.helpers import Driver, sends
+
+    d = Driver(servers=10, seed=3, balancers=1)
+    weights = [8.0] * 9 + [2.5]
+    d.feed(
+        api.ServerList(
+            api.ListKind.FULL, tuple(api.ServerEntry(f"s{i}", weight=w) for i, w in enumerate(weights))
+        )
+    )
+    to_empty = 0
+    for _ in range(requests):
+        out = d.answer_probes(d.request(after=over / requests), lambda s: 0.0 if s == "s9" else 0.5, 40.0)
+        for send in sends(out):
+            to_empty += send.server == "s9"
+            d.stand(send)
+    return to_empty
+
+
+def test_an_empty_server_is_filled_no_further_than_its_size_allows() -> None:
+    """An empty server's reports can't say what a connection adds to its load: proxies saw room without end
+    and filled a small one past its capacity (herd+vast, where it then dropped what it held)."""
+    to_empty = _sends_to_an_empty_server()
+    room = 0.95 / (0.5 / 40.0 * 8.0 / 2.5)  # a connection there adds as much as at the others, by size
+    print(f"{to_empty} of 240 sends to the empty server, room for {room:.0f}")
+    assert to_empty <= 1.5 * room  # what it placed a second ago counts for less
+
+
+def _takes_of_little_room(reconnect: bool) -> int:
+    """A proxy of forty places 30 clients in a second, none of which stands yet, on ten servers with room for
+    two connections each (0.85 of capacity with 17). Its sends."""
+    from tests.helpers import Driver, sends
+
+    d = Driver(servers=10, seed=5, balancers=40)
+    taken = 0
+    for _ in range(30):
+        out = d.answer_probes(d.request(after=1 / 30, reconnect=reconnect), 0.85, 17.0)
+        taken += len(sends(out))
+    return taken
+
+
+def test_clients_moved_here_are_rivals_for_room_as_new_ones_are() -> None:
+    """Clients that another node moved count once they are sent, not once they stand: in a wave of them (a
+    server relieved, a node gone) every node took a little room as if nobody else were coming (herd+vast)."""
+    new, moved = _takes_of_little_room(False), _takes_of_little_room(True)
+    print(f"of 30 clients, {new} new ones sent and {moved} moved ones")
+    assert moved <= new + 3
