bench/wave.py: setups per connection in a wave, the module beside the rule before

Ten modules, six servers on one setup path of 40 a second (the model of tests/test_wave.py), waves of 20 to 120 requests in a second; the peer cuts each attempt with tries left at max(aim, left / tries_left / 2) as before.

--- /dev/null
+++ b/bench/wave.py
@@ -0,0 +1,58 @@
+"""Work done twice in a wave: the module's waits beside a peer that gives attempts up as it did before.
+
+    python -m bench.wave [--seeds N]
+
+Ten modules in front of six save servers that set connections up through one shared path of 40 a second (the
+model of `tests/test_wave.py`); waves of 20 to 120 requests in one second. The peer is the same module whose
+attempts are cut as before the large fleet's first cause was found. For each wave: setups done for each
+connection that stood, the share that stood, and the peer's setups over the module's. No part of CI.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from typing import Any
+
+from gradegap import interface as api
+from tests.test_wave import INVENTORY, Fleet
+
+
+class AtTheAim(Fleet):
+    """The rule before: an attempt with tries left waits `max(aim, left / tries_left / 2)`, the last all that
+    is left. The module's other reason to give all (most attempts failing) can't be seen from here."""
+
+    tries: dict[int, int]
+    deadlines: dict[int, float]
+
+    def send(self, node: Any, send: api.Send) -> None:
+        tries = self.tries[send.id] = self.tries.get(send.id, 0) + 1
+        left = self.deadlines[send.id] - self.now
+        tries_left = 4 - tries + 1
+        wait = left if tries_left <= 1 else min(left, max(INVENTORY.aim, left / tries_left / 2))
+        super().send(node, send._replace(timeout=min(send.timeout, wait)))
+
+
+def played(kind: type[Fleet], requests: int, seed: int) -> tuple[float, float]:
+    fleet = kind(seed=seed)
+    if isinstance(fleet, AtTheAim):
+        fleet.tries = {}
+        fleet.deadlines = {k + 1: k / requests + INVENTORY.limit for k in range(requests)}
+    fleet.wave(requests=requests, over=1.0)
+    return fleet.setups / max(1, fleet.stood), fleet.stood / requests
+
+
+def main() -> None:
+    seeds = int(sys.argv[sys.argv.index("--seeds") + 1]) if "--seeds" in sys.argv else 10
+    print(f"{'wave':>5} {'setups/up':>10} {'up':>6} {'peer setups/up':>15} {'up':>6} {'peer/module':>12}")
+    for requests in (20, 40, 60, 80, 120):
+        ours = [played(Fleet, requests, seed) for seed in range(seeds)]
+        peer = [played(AtTheAim, requests, seed) for seed in range(seeds)]
+        cost, up = (statistics.mean(x) for x in zip(*ours, strict=True))
+        p_cost, p_up = (statistics.mean(x) for x in zip(*peer, strict=True))
+        print(f"{requests:>5} {cost:>10.2f} {up:>6.2f} {p_cost:>15.2f} {p_up:>6.2f} {p_cost / cost:>12.2f}")
+    print(f"seeds 0 to {seeds - 1}; the shared path sets up 40 connections a second")
+
+
+if __name__ == "__main__":
+    main()
