Trace: one branch for tuples, long or short, and enums known by their type

Read again: _short had two tuple branches that wrote the same list, one with the count of what was cut, and told enum members by having a name and a value. Now one branch writes a tuple, cut at LIST_MOST with the count of the rest, and Enum members are known by isinstance.

--- a/gradegap/trace.py
+++ b/gradegap/trace.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import sys
+from enum import Enum
 from typing import IO, Any
 
 import msgspec
@@ -21,14 +22,13 @@
 def _short(value: Any) -> str:
     if isinstance(value, float):
         return f"{value:.4g}"
-    if isinstance(value, tuple) and len(value) > LIST_MOST:
-        return "(" + ",".join(map(_short, value[:LIST_MOST])) + f",+{len(value) - LIST_MOST})"
-    if isinstance(value, tuple) and not hasattr(value, "_fields"):
-        return "(" + ",".join(map(_short, value)) + ")"
-    if hasattr(value, "_fields"):
+    if isinstance(value, Enum):
+        return value.name
+    if hasattr(value, "_fields"):  # an event, an action or an entry of a list
         return _form(value)
-    if hasattr(value, "name") and hasattr(value, "value"):  # an enum member
-        return str(value.name)
+    if isinstance(value, tuple):
+        more = f",+{len(value) - LIST_MOST}" if len(value) > LIST_MOST else ""
+        return "(" + ",".join(map(_short, value[:LIST_MOST])) + more + ")"
     return str(value)
 
 
