bench/wave.py: the peer reads deadlines and attempts from what it is told

Read again: the peer worked out each request's deadline again from the wave's own formula, and took four attempts as a literal. It now notes each Request's deadline_at as the fleet feeds it, and reads max_attempts from the module's settings, so that it follows the model if either changes.

--- a/bench/wave.py
+++ b/bench/wave.py
@@ -22,22 +22,26 @@
     """The rule before: an attempt with tries left waits `max(aim, left / tries_left / 2)`, the last all that
     is left. The module's other reason to give all (most attempts failing) can't be seen from here."""
 
-    tries: dict[int, int]
-    deadlines: dict[int, float]
+    def __post_init__(self) -> None:
+        self.tries: dict[int, int] = {}
+        self.deadlines: dict[int, float] = {}
+        super().__post_init__()
+
+    def feed(self, node: Any, event: api.Event) -> None:
+        if isinstance(event, api.Request):
+            self.deadlines[event.id] = event.deadline_at
+        super().feed(node, event)
 
     def send(self, node: Any, send: api.Send) -> None:
         tries = self.tries[send.id] = self.tries.get(send.id, 0) + 1
         left = self.deadlines[send.id] - self.now
-        tries_left = 4 - tries + 1
+        tries_left = node.set.max_attempts - tries + 1
         wait = left if tries_left <= 1 else min(left, max(INVENTORY.aim, left / tries_left / 2))
         super().send(node, send._replace(timeout=min(send.timeout, wait)))
 
 
 def played(kind: type[Fleet], requests: int, seed: int) -> tuple[float, float]:
     fleet = kind(seed=seed)
-    if isinstance(fleet, AtTheAim):
-        fleet.tries = {}
-        fleet.deadlines = {k + 1: k / requests + INVENTORY.limit for k in range(requests)}
     fleet.wave(requests=requests, over=1.0)
     return fleet.setups / max(1, fleet.stood), fleet.stood / requests
 
