Loads follow the list's live weights, and groups stay together across nodes

The list told every server's connections all along: size / (1 + held a core), pushed each 1.2 s, gives the reported inflight to within two. And 20 groups, each of which costs three connections' load on every server that holds any of it, went from 26 places to 119: 357 loads beside 383 connections. At fault in choice.py: _decide read the weight only without probes, and _unit took a live weight for a size; _figure took a group to be elsewhere unless this one of forty nodes holds it, and _has_room took its first connection on a server for one load. Change: told.py reads connections from weights, cores learned from reports; _load moves the last report by them, for comparison, room and moves. A group's draws begin where this node holds it, then on the ring; elsewhere it costs what it costs, in the comparison and in the room. Ring and rates go to files of their own, as they decide nothing.

--- a/gradegap/capture/state.py
+++ b/gradegap/capture/state.py
@@ -19,10 +19,12 @@
 import msgspec
 
 from gradegap import interface as api
+from gradegap.rates import Rate
 
 LEFT_OUT = frozenset({"set", "on", "random", "out"})  # made anew from the settings, or empty between events
 MOST_OBJECTS = 1_000_000
 PLAIN = frozenset({type(None), bool, int, float, str})
+_PARTS = {"Rate": Rate}  # what a module's objects are made of beside its own classes
 _VALUES: dict[str, type] = {"ClassSettings": api.ClassSettings, "TenantSettings": api.TenantSettings}
 _ENUMS: dict[str, type[enum.Enum]] = {
     t.__name__: t
@@ -72,7 +74,7 @@
         if kind is dict:
             value = self.value
             return ["m", [[value(k), x if type(x) in PLAIN else value(x)] for k, x in v.items()]]
-        if kind.__module__ == self.module or kind in _VALUE_KINDS:
+        if kind.__module__ == self.module or kind in _VALUE_KINDS or kind is _PARTS.get(kind.__name__):
             return self.ref(v)
         if kind in _ENUM_KINDS:
             return ["e", kind.__name__, v.value]
@@ -120,8 +122,8 @@
                 self.made.append(self._make(each[0], k == 0, settings))
 
     def _make(self, name: str, first: bool, settings: api.Settings) -> Any:
-        cls = getattr(self.module, name, None)
-        if not isinstance(cls, type) or cls.__module__ != self.module.__name__:
+        cls = _PARTS.get(name) or getattr(self.module, name, None)
+        if not isinstance(cls, type) or (name not in _PARTS and cls.__module__ != self.module.__name__):
             raise BadState(f"the module has no {name[:40]}")
         if first != (name == "Balancer"):
             raise BadState("one Balancer comes first")
--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -11,23 +11,21 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left, bisect_right, insort
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from hashlib import blake2b
 from random import Random
 from typing import Any, get_args
 
 from gradegap import interface as api
+from gradegap import ring, told
+from gradegap.rates import Rate
 
 NEVER = -1e9  # a clock time before all others
 BETA_SCALE = 1.0  # factor on the paper's beta, which leaves the constant open
 FRESH = 0.5  # part of the class's aim: a figure older than this is probed again before it is compared
 HOLD = 0.16  # part of the class's aim: the longest a request waits for the probes of its pair
-RATE_SLOW = 20.0  # s: memory of the usual rate of standing connections
 REPORTS_BEHIND = 5.0  # s: growth of our own connections that reports may not show yet
-RATE_FAST = 2.0  # s: memory of the rate in a wave; b takes the larger of the two
 OWN_MEMORY = 1.0  # s: how long our own placements count on top of a report that may not show them yet
 FULL_AT = 0.9  # load over capacity from which a drawn pair's lighter one is drawn again
 ROOM_TO = 0.95  # load over capacity up to which all proxies together may fill a server
@@ -39,7 +37,6 @@
 COLD_SAFETY = 0.4  # part of what falls a cold server (share times fall_multiple) that draws may give it
 MOVE_AT = 0.9  # load over capacity from which standing connections are moved away
 MOVE_TO = 0.85  # load over capacity that the moves of all proxies together aim at
-MOVE_GAIN = 1.0  # part of the excess to move at each look
 MOVE_REST = 1.5  # report paces between two rounds of moves off one server, so that reports show the first
 LEAVE_TICK = 0.1  # s between two rounds of moves off what leaves
 LEAD = 3.6  # s that a server told to drain is held to stay, until one was seen to stop sooner
@@ -59,31 +56,10 @@
 GUARD = 0.02  # s before a deadline at which a request that waits is answered
 ASK_SPREAD = 0.5  # part of ask_within over which proxies spread their first call to the list service
 RING_WALK = 8  # servers of the ring drawn from, before a group's request draws from the ready list
-TEAM_LOADS = 8.0  # connection loads that a group adds where we hold none: 3 now, the rest for who follows
-RING_POINTS = 16  # points of a server on the ring from which groups draw
+TEAM_LOADS = 3.0  # connection loads that a group costs each server which holds any of it
 COMPARED = ("x0", "util", "inflight")  # what is compared: the first that reports carry
 
 
-class _Rate:
-    """Events a second of late: the larger of a long and a short memory, so it rises at once in a wave."""
-
-    __slots__ = ("at", "fast", "slow")
-
-    def __init__(self) -> None:
-        self.fast = self.slow = self.at = 0.0
-
-    def add(self, now: float) -> None:
-        self.slow = self.slow * math.exp((self.at - now) / RATE_SLOW) + 1 / RATE_SLOW
-        self.fast = self.fast * math.exp((self.at - now) / RATE_FAST) + 1 / RATE_FAST
-        self.at = now
-
-    def late(self, now: float) -> float:
-        return self.fast * math.exp((self.at - now) / RATE_FAST)
-
-    def get(self, now: float) -> float:
-        return max(self.slow * math.exp((self.at - now) / RATE_SLOW), self.late(now))
-
-
 @dataclass(slots=True, eq=False)
 class _Server:
     name: str
@@ -109,6 +85,10 @@
     leaves_in: float = 0.0  # s that it stays once it is told to drain; 0: not told
     drains_at: float = 0.0  # when we were told that it drains or is gone; 0: it does not
     empty_by: float = 0.0  # all our connections are moved off it by then
+    size: float = 0.0  # its weight when it is empty: the most that the list has told
+    cores: float = 0.0  # learned from its reports beside its weights; 0: not yet
+    told: float = 0.0  # connections that all proxies hold there, by its weight
+    told_at: float = NEVER  # when the list told them
     held: dict[int, _Req] = field(default_factory=dict)  # own standing connections
     teams: dict[str, int] = field(default_factory=dict)  # how many of them each group has
     waiters: list[_Req] = field(default_factory=list)  # requests that wait for its probe
@@ -123,8 +103,8 @@
     most: int = 1  # attempts, by the settings that it came under
     again: bool = False  # it stood before, here or at another proxy
     ring_key: str = ""  # what places it on the ring; none: it draws from the ready list
-    ring_at: int = 0
-    walked: list[_Server] = field(default_factory=list)  # what it has drawn from the ring
+    walk: list[_Server] | None = None  # what its draws come from, in order
+    walk_at: int = 0
     attempts: int = 0
     out: bool = False  # an attempt is out; never two at once
     standing: bool = False
@@ -148,6 +128,7 @@
         self.random = self.rng.random
         self.servers: dict[str, _Server] = {}
         self.ready: list[_Server] = []
+        self.ring: ring.Ring = []  # of the ready servers
         self.n_log_n = 0.0
         self.adopt(settings)
         self.reqs: dict[int, _Req] = {}
@@ -155,7 +136,7 @@
         self.born = NEVER
         self.usual = self.usual_at = 0.0
         self.began_with = 0
-        self.stood, self.came, self.lost = _Rate(), _Rate(), _Rate()  # what stood, was sent, failed once sent
+        self.stood, self.came, self.lost = Rate(), Rate(), Rate()  # what stood, was sent, failed once sent
         self.gaps, self.changes = REPORT_LAG, 1.0  # probed time and changed reports seen in it: their pace
         self.recent: deque[float] = deque()  # arrivals within fall_time
         self.tokens = PROBES_SAVED / 2
@@ -176,8 +157,6 @@
         self.field = next((f for f in COMPARED if f in settings.report_fields), "")
         self.top_worth = max(c.worth for c in settings.classes.values()) or 1.0
         self.use_ring = settings.groups or settings.passes
-        points = range(RING_POINTS) if self.use_ring else ()
-        self.ring = sorted((_hash(f"{s.name}#{i}"), s.name) for s in self.ready for i in points)
         self.cross = CROSSING * settings.cross_zone_price
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
@@ -202,7 +181,7 @@
                 if s.name not in named:
                     self._set_phase(s, api.Phase.GONE)
         for entry in e.entries:
-            self._entry(entry)
+            self._entry(entry, e.kind is api.ListKind.DELTA)
         n = len(self.ready)
         self.n_log_n = n * math.log(n) if n > 1 else 0.0
         if e.kind is api.ListKind.CACHED:
@@ -219,11 +198,16 @@
     def _known(self, name: str) -> _Server:
         return self.servers.setdefault(name, _Server(name))
 
-    def _entry(self, e: api.ServerEntry) -> None:
+    def _entry(self, e: api.ServerEntry, renewed: bool) -> None:
         s = self._known(e.server)
+        s.size = max(s.size, e.weight)
         if e.started_at > s.started_at:  # a new process: what was known of the old one is void
             s.started_at, s.load = e.started_at, None
-            s.silent, s.failed, s.out_until, s.seen_at, s.looked_at = 0, 0, 0.0, NEVER, NEVER
+            s.silent, s.failed, s.out_until = 0, 0, 0.0
+            s.seen_at = s.looked_at = s.told_at = NEVER
+        elif s.cores and renewed and s.index >= 0 and e.phase is api.Phase.READY:
+            # Where a phase changes, and in whole lists, the weight is the size and tells nothing of them.
+            s.told, s.told_at = told.held(s.size, e.weight, s.cores), self.now
         s.zone, s.cell, s.weight, s.leaves_in = e.zone, e.cell, e.weight, e.leaves_in
         s.is_local = not e.zone or not self.set.zone or e.zone == self.set.zone
         self._set_phase(s, e.phase)
@@ -233,18 +217,14 @@
         if phase is api.Phase.READY and s.index < 0:
             s.index = len(self.ready)
             self.ready.append(s)
-            if self.use_ring:
-                for i in range(RING_POINTS):
-                    insort(self.ring, (_hash(f"{s.name}#{i}"), s.name))
+            ring.add(self.ring, s.name)
         elif phase is not api.Phase.READY and s.index >= 0:
             last = self.ready.pop()
             if last is not s:
                 self.ready[s.index] = last
                 last.index = s.index
             s.index = -1
-            if self.use_ring:
-                for i in range(RING_POINTS):
-                    del self.ring[bisect_left(self.ring, (_hash(f"{s.name}#{i}"), s.name))]
+            ring.remove(self.ring, s.name)
         if phase is api.Phase.READY:
             s.drains_at = 0.0
         elif s.held:
@@ -255,14 +235,13 @@
     # A request's way
 
     def _on_request(self, e: api.Request) -> None:
-        now = self.now
-        r = _Req(e.id, self.set.classes[e.cls], now, e.deadline_at)
+        r = _Req(e.id, self.set.classes[e.cls], self.now, e.deadline_at)
         r.ring_key, r.again, r.most = self._key(e), e.reconnect, self.set.max_attempts
         self.reqs[e.id] = r
         again = e.retry or e.reconnect
         self.tokens = min(PROBES_SAVED, self.tokens + (PROBES_PER_RETURN if again else PROBES_PER_REQUEST))
-        self.recent.append(now)
-        while self.recent[0] < now - self.set.fall_time:
+        self.recent.append(self.now)
+        while self.recent[0] < self.now - self.set.fall_time:
             self.recent.popleft()
         self._draw(r)
 
@@ -328,19 +307,18 @@
         return fallback if other is None else None
 
     def _next_on_ring(self, r: _Req) -> _Server | None:
-        """Condition: connections of one group share work on a server. The draws come from a ring that all
-        proxies share, in one order for each group, so that its connections meet on few servers."""
-        ring = self.ring
-        if not r.walked:
-            r.ring_at = bisect_right(ring, (_hash(r.ring_key), ""))
-        if len(r.walked) >= min(len(self.ready), len(ring), RING_WALK):  # there is none after some reloads
-            return None
-        while True:
-            s = self.servers[ring[r.ring_at % len(ring)][1]]
-            r.ring_at += 1
-            if s not in r.walked:
-                r.walked.append(s)
-                return s
+        """Condition: connections of one group share work on a server. The draws come from where we hold it,
+        then from a ring that all proxies share, in one order for each group, so that its connections meet."""
+        if r.walk is None:
+            homes = [s for s in self.ready if r.ring_key in s.teams]
+            homes.sort(key=lambda s: -s.teams[r.ring_key])
+            near = [self.servers[name] for name in ring.order(self.ring, r.ring_key, RING_WALK)]
+            r.walk = homes + [s for s in near if s not in homes]
+        for k in range(r.walk_at, len(r.walk)):
+            r.walk_at = k + 1
+            if r.walk[k].index >= 0:
+                return r.walk[k]
+        return None
 
     def _cold_may(self, s: _Server) -> bool:
         """Thin draws of a cold server by its slowest ramp, and more in a wave of arrivals."""
@@ -359,31 +337,50 @@
             return 1.0
         return min(1.0, BETA_SCALE * math.sqrt(self.n_log_n / b))
 
+    def _as_of(self, s: _Server) -> float:
+        return max(s.seen_at, s.told_at)
+
     def _own(self, s: _Server) -> float:
         """Our own placements on a server of late."""
         return s.own * math.exp((s.own_at - self.now) / OWN_MEMORY)
 
+    def _load(self, s: _Server) -> float | None:
+        """The last reported load, and what the list has told since of connections that came and went."""
+        if s.told_at <= s.seen_at or (unit := self._unit(s)) <= 0:
+            return s.load
+        if s.load is None:
+            return s.told * unit
+        return s.load if s.raw[1] is None else max(0.0, s.load + unit * (s.told - s.raw[1]))
+
+    def _is_home(self, s: _Server, r: _Req) -> bool:
+        """Whether the request's group is held to stand there: where we hold it, or where its draws begin, as
+        those of all proxies do. What each holds alone says too little where many proxies hold few each."""
+        return not r.ring_key or r.ring_key in s.teams or s in (r.walk or ())[:1]
+
     def _figure(self, s: _Server, r: _Req) -> float | None:
         """The last probed load, with what we know it cannot show yet, the price of crossing, and what the
-        request's group would add where we hold none of it."""
-        if s.load is None:
+        request's group would add where it is not at home, with one to follow."""
+        if (load := self._load(s)) is None:
             return None
-        added = self._own(s) + (TEAM_LOADS if r.ring_key and r.ring_key not in s.teams else 0.0)
-        figure = s.load + self._unit(s) * added
+        added = self._own(s) + (0.0 if self._is_home(s, r) else TEAM_LOADS + 1.0)
+        figure = load + self._unit(s) * added
         return figure if s.is_local else figure + self.cross
 
-    def _has_room(self, s: _Server, worth: float) -> bool:
+    def _has_room(self, s: _Server, r: _Req) -> bool:
         """Whether a server has room for the connections that all proxies may be about to give it.
 
         Guards against a server with a little room that every proxy sees at once: each takes it with the
         chance that makes them, together, fill the room and not more."""
-        age = self.now - s.seen_at
+        age = self.now - self._as_of(s)
+        load = self._load(s)
         # Guards against frozen reports: one older than any delay says nothing of room, so trust the draw.
-        if s.load is None or (unit := self._unit(s)) <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
+        if load is None or (unit := self._unit(s)) <= 0 or s.looked_at - s.seen_at > 2 * REPORTS_BEHIND:
             return True
-        load = s.load * self._growth() + unit * self._own(s)
-        # The least worth is refused first.
-        room = (ROOM_TO - LOW_WORTH * (1.0 - worth / self.top_worth) - load) / unit
+        # What the list has told since the report has our own connections in it, and needs no guess.
+        load = load * (1.0 if s.told_at > s.seen_at else self._growth()) + unit * self._own(s)
+        # The least worth is refused first, and a group's first on a server takes the room of several.
+        room = (ROOM_TO - LOW_WORTH * (1.0 - r.cls.worth / self.top_worth) - load) / unit
+        room -= 0.0 if self._is_home(s, r) else TEAM_LOADS
         if room <= 0:
             return False
         pace = self._pace()
@@ -393,10 +390,10 @@
 
     def _unit(self, s: _Server) -> float:
         """What one connection adds to a server's load. Guards against an empty server, whose reports can't
-        say it, that every proxy would fill at once: what is seen elsewhere, by weight, stands for it."""
-        if s.unit > 0 or not (known := [o.unit * o.weight for o in self.ready if o.unit > 0]):
+        say it, that every proxy would fill at once: what is seen elsewhere, by size, stands for it."""
+        if s.unit > 0 or not (known := [o.unit * o.size for o in self.ready if o.unit > 0]):
             return s.unit
-        return sum(known) / len(known) / max(s.weight, 1e-9)
+        return sum(known) / len(known) / max(s.size, 1e-9)
 
     def _pace(self) -> float:
         """The time between two reports of a server, as probes have seen it."""
@@ -428,13 +425,11 @@
         if a is not b:
             if self.by_probe or self.set.reports is api.Reports.ANSWERS:
                 fa, fb = self._figure(a, r), self._figure(b, r)
-                age = self.now - min(a.seen_at, b.seen_at)
+                age = 0.0 if None in (fa, fb) else self.now - min(self._as_of(a), self._as_of(b))
             elif self.set.weights is api.Weights.LIVE:
                 fa, fb, age = 1.0 / max(a.weight, 1e-9), 1.0 / max(b.weight, 1e-9), 0.0
             else:  # no reports at all: our own connections are all that can be counted
                 fa, fb, age = len(a.held) / max(a.weight, 1e-9), len(b.held) / max(b.weight, 1e-9), 0.0
-            if fa is None or fb is None:
-                age = 0.0
             if self.random() < self.beta(age):
                 if fa is None or fb is None or fa == fb:
                     keep = a if self.random() < 0.5 else b
@@ -448,7 +443,7 @@
                 other = self._figure(best, r)
                 if other is not None and (figure is None or other < figure):
                     keep, figure = best, other
-            room = self._has_room(keep, r.cls.worth)
+            room = self._has_room(keep, r)
             if not room or (figure is not None and figure >= FULL_AT):
                 r.best = keep
                 if r.redraws < REDRAWS and self.now - r.arrived < FRESH * r.cls.aim:
@@ -654,6 +649,8 @@
             return  # the same report again: its figure is older than its probe
         s.raw = (value, count)
         s.seen_at = self.now
+        if self.set.weights is api.Weights.LIVE:
+            s.cores = told.cores(s.cores, s.size, s.weight, count)
         piled = report.get("x1", 0.0)
         if self.field == "inflight":
             value /= max(s.weight, 1e-9)
@@ -667,16 +664,16 @@
         """Condition: a server that holds our connections is near or over its capacity, or leaves several
         probes in a row unanswered while most others answer: what hangs or is cut off serves nobody.
         Every proxy sees the same, and each moves its own part of the excess."""
-        load = s.load if self.field != "inflight" else None
+        load = self._load(s) if self.field != "inflight" else None
         if s.silent:
             load = 2.0 if s.silent >= SILENT and self.answering > 0.5 else None
         if load is None or load < MOVE_AT or self.now < s.rest_until:
             return
         # Guards against moves that no other server has room for: their clients would only be refused.
-        others = [(o.load or 0.0, o.unit) for o in self.ready if o is not s and o.unit > 0]
+        others = [(self._load(o) or 0.0, o.unit) for o in self.ready if o is not s and o.unit > 0]
         room = math.inf if s.silent else sum(max(0.0, ROOM_TO - full) / unit for full, unit in others)
         room /= self.set.balancers
-        count = int(min(len(s.held) * MOVE_GAIN * (load - MOVE_TO) / load, room) + self.random())
+        count = int(min(len(s.held) * (load - MOVE_TO) / load, room) + self.random())
         s.rest_until = self.now + MOVE_REST * self._pace() * (0.75 + 0.5 * self.random())
         if count:
             # The least worth goes first, as where no server has room it is what will be refused, and the
@@ -777,7 +774,3 @@
                 self._decide(r)
             else:
                 self._draw(r)
-
-
-def _hash(text: str) -> int:
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
--- /dev/null
+++ b/gradegap/rates.py
@@ -0,0 +1,28 @@
+"""How often something happens, as of late. It decides nothing."""
+
+from __future__ import annotations
+
+import math
+
+SLOW = 20.0  # s: memory of the usual rate
+FAST = 2.0  # s: memory of the rate in a wave
+
+
+class Rate:
+    """Events a second of late: the larger of a long and a short memory, so it rises at once in a wave."""
+
+    __slots__ = ("at", "fast", "slow")
+
+    def __init__(self) -> None:
+        self.fast = self.slow = self.at = 0.0
+
+    def add(self, now: float) -> None:
+        self.slow = self.slow * math.exp((self.at - now) / SLOW) + 1 / SLOW
+        self.fast = self.fast * math.exp((self.at - now) / FAST) + 1 / FAST
+        self.at = now
+
+    def late(self, now: float) -> float:
+        return self.fast * math.exp((self.at - now) / FAST)
+
+    def get(self, now: float) -> float:
+        return max(self.slow * math.exp((self.at - now) / SLOW), self.late(now))
