A close over unread bytes takes no answer with it, and a peer that never reads is let go

And uvloop closes a transport only once all of its writes are out, so a peer that reads no more kept its connection and descriptor for as long as it liked, on either side (_last, Fetch.write_eof, Fetch.abandon); evicting such a client did nothing. Lines at fault: between transport.close() and the loop's own close of the descriptor a turn later a client may write; between write_eof() and its shutdown a peer may stop reading. Change: what is unread is read away in connection_lost, which runs right before the descriptor is closed, and only for channels that ended here (one passed to another process has its bytes there); a linger ends in an abort where what is left has not shrunk since the look before; a backend's connection ends the same way.

--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -12,7 +12,7 @@
 
 from gradegap.core import Attempt, Backend, ProbeDone
 from gradegap.interface import Result
-from gradegap.net.client_session import HIGH_WATER, ClientSession, Pausable, no_delay, reset
+from gradegap.net.client_session import HIGH_WATER, ClientSession, Pausable, end, no_delay, reset
 from gradegap.net.descriptors import Descriptors
 from gradegap.net.framing import LONGEST, figure, parse_report
 
@@ -219,7 +219,7 @@
         if self.stop is not None:
             self.stop()
         if self.transport is not None:
-            self.transport.close()
+            end(self.transport)
 
     # The pipe of a standing session
 
@@ -240,7 +240,7 @@
         self.eof_sent = True
         if not transport.is_closing():
             transport.write_eof()
-        self.session.core.loop.call_later(END_WAIT, transport.close)
+        self.session.core.loop.call_later(END_WAIT, end, transport)
 
     def reset(self) -> None:
         if self.transport is not None:
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import socket
 import struct
 from collections.abc import Callable
@@ -23,6 +25,7 @@
 DRAIN_PAUSE = 0.003  # s between two reads of what such a one sends, so that it costs little CPU
 SLOW_PAUSE = 1.0  # s between two pieces of a first line, within which its writer is sound, but slow
 SLOW_MOST = 6.0  # s that such a one may take in all
+READ_AWAY = 16  # pieces of `HIGH_WATER` bytes that a connection which ends is read on at the most
 LINE_END_WAIT = 1.0  # s for the end of a line that is half through, before a MOVE
 
 
@@ -473,16 +476,19 @@
         self.session = ClientSession(core, stats, self, ready)
         self.closing = False
         self.close_by = 0.0
+        self.unsent = float("inf")  # bytes on their way out, when the linger was last over
         self.last: asyncio.TimerHandle | None = None  # what ends a connection that lingers
         self.adopted = False  # taken over from another process; until it is made, what it is to say is kept
         self.early = bytearray()
         self.ending: Ending | None = None
         self.gone = False
+        self.fd = -1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(HIGH_WATER)
         no_delay(self.transport)
+        self.fd = self.transport.get_extra_info("socket").fileno()
         self.live.add(self)
         self.descriptors.accepted(self)
         if self.adopted:
@@ -513,10 +519,23 @@
         self.descriptors.rank(self, None)
 
     def evict(self) -> None:
-        self.session.evict(self.session.core.settings.max_retry_after)
+        if self.closing:  # its answer went out some time ago
+            self.end_now()
+        else:
+            self.session.evict(self.session.core.settings.max_retry_after)
+            self.end_soon()
+
+    def end_soon(self) -> None:
+        """Close as soon as all that was said is out."""
         if self.transport is not None:
             self.transport.close()
 
+    def end_now(self) -> None:
+        """Close, whatever the other side does. Guards against one that never reads: what it has left unread
+        would keep the descriptor for as long as it likes."""
+        if self.transport is not None:
+            end(self.transport)
+
     def data_received(self, data: bytes) -> None:
         if not self.closing:
             self.session.data(data)
@@ -540,6 +559,8 @@
         return not self.closing
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is None and self.closing:  # one that lives on in another process has its bytes there
+            self._read_away()
         self.live.discard(self)
         self.descriptors.released(self)
         if self.last is not None:
@@ -580,8 +601,29 @@
         self.last = self.loop.call_later(LINGER, self._last)
 
     def _last(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
+        """The linger is over. One that reads its last lines slowly, but reads them, has longer."""
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        if 0 < unsent < self.unsent and self.loop.time() + LINGER < self.close_by:
+            self.unsent = unsent
+            self.last = self.loop.call_later(LINGER, self._last)
+        else:
+            self.end_now()
+
+    def _read_away(self) -> None:
+        """The socket is closed right after this. Guards against a close over bytes that came and were not
+        read: it resets the connection, and takes the answer with it."""
+        with contextlib.suppress(OSError):
+            for _ in range(READ_AWAY):
+                if not os.read(self.fd, HIGH_WATER):
+                    return
+
+
+def end(transport: asyncio.Transport) -> None:
+    """Close a connection at once: what the other side has not taken by now is dropped."""
+    if transport.get_write_buffer_size():
+        transport.abort()
+    else:
+        transport.close()
 
 
 def no_delay(transport: asyncio.BaseTransport) -> None:
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,149 @@
+"""A client's TCP channel as it closes, in the loop of the test: what the other side does in that very moment
+is done before the loop may see it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import pytest
+import uvloop
+
+from gradegap.core import Core
+from gradegap.net.client_session import LINGER, LINGER_MOST, Ending, TcpChannel
+from gradegap.net.descriptors import Descriptors
+from gradegap.stats import Stats
+from tests.helpers import settings
+
+FIRST_LINE = b"OPEN 1 2 c=live,d=1000\r\n"
+
+
+class Door:
+    """The node's door without a node: channels that nothing is fetched for."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.stats = Stats()
+        self.descriptors = Descriptors(1000, self.stats)
+        self.core = Core(settings(), 1, cast(Any, None), self.stats, self.loop)
+        self.live: set[TcpChannel] = set()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+
+    async def open(self) -> None:
+        await self.loop.create_server(self._made, sock=self.listener)
+
+    def _made(self) -> TcpChannel:
+        return TcpChannel(self.core, self.stats, lambda: True, self.live, self.descriptors)
+
+    async def client(self, small: bool = False) -> tuple[socket.socket, TcpChannel]:
+        sock = socket.socket()
+        if small:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.connect(self.listener.getsockname())
+        before = set(self.live)
+        while not (new := self.live - before):
+            await asyncio.sleep(0)
+        return sock, new.pop()
+
+    async def until(self, true: Callable[[], bool], within: float) -> None:
+        end = self.loop.time() + within
+        while not true():
+            assert self.loop.time() < end, "it never came about"
+            await asyncio.sleep(0.01)
+
+
+def in_loop(test: Callable[[Door], Coroutine[Any, Any, None]]) -> None:
+    async def main() -> None:
+        door = Door()
+        await door.open()
+        await test(door)
+
+    uvloop.run(main())
+
+
+async def read_to_end(sock: socket.socket) -> bytes:
+    """All that comes until the end; a reset raises."""
+    sock.setblocking(False)
+    loop, got = asyncio.get_running_loop(), b""
+    while data := await asyncio.wait_for(loop.sock_recv(sock, 1_000_000), 5.0):
+        got += data
+    return got
+
+
+def was_reset(sock: socket.socket) -> bool:
+    """Whether a reset came, also where the end before it hides it from a reader."""
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
+@pytest.mark.parametrize("said", [FIRST_LINE, FIRST_LINE[:9], FIRST_LINE + b"x" * 200_000])
+def test_an_eviction_over_bytes_that_were_not_read_yet_still_answers(said: bytes) -> None:
+    """The client's line is in the socket's buffer as the channel is evicted. The close over it reset the
+    connection, and the answer went with it."""
+
+    async def test(door: Door) -> None:
+        sock, channel = await door.client()
+        sock.setblocking(False)
+        sock.send(said)  # the loop has no turn between this line and the next
+        channel.evict()
+        assert (await read_to_end(sock)).startswith(b"BUSY ")
+        await door.until(lambda: door.descriptors.held == 0, 2.0)
+        assert not was_reset(sock)
+
+    in_loop(test)
+
+
+@pytest.mark.parametrize("ending", [Ending.MOVED, Ending.FAILED, Ending.SERVED])
+def test_the_end_of_a_linger_over_unread_bytes_is_no_reset(ending: Ending) -> None:
+    """The client writes as the linger ends; it finds the last line and an end."""
+
+    async def test(door: Door) -> None:
+        sock, channel = await door.client()
+        channel.write(b"MOVE\r\n")
+        channel.close(ending)
+        await asyncio.sleep(LINGER / 2)
+        sock.send(FIRST_LINE)
+        channel._last()
+        assert await read_to_end(sock) == b"MOVE\r\n"
+        await door.until(lambda: door.descriptors.held == 0, 2.0)
+        assert not was_reset(sock)
+
+    in_loop(test)
+
+
+@pytest.mark.parametrize("evicted", [False, True])
+def test_a_peer_that_never_reads_does_not_keep_its_descriptor(evicted: bool) -> None:
+    """More is on its way to it than its buffers hold. Its connection was closed once all was out, and so
+    never; evicting it did nothing."""
+
+    async def test(door: Door) -> None:
+        _sock, channel = await door.client(small=True)
+        channel.write(b"x" * 16_000_000 + b"\r\n")
+        channel.close(Ending.MOVED)
+        if evicted:
+            channel.evict()
+        await door.until(lambda: door.descriptors.held == 0, LINGER / 2 if evicted else LINGER_MOST)
+
+    in_loop(test)
+
+
+def test_a_peer_that_reads_slowly_has_its_last_lines() -> None:
+    """It goes on reading past the linger: what it takes time for is not cut off."""
+
+    async def test(door: Door) -> None:
+        sock, channel = await door.client()
+        size = 40_000_000
+        channel.write(b"x" * size + b"MOVE\r\n")
+        channel.close(Ending.MOVED)
+        sock.setblocking(False)
+        got = b""
+        end = door.loop.time() + 1.5 * LINGER
+        while door.loop.time() < end:
+            got += await door.loop.sock_recv(sock, size // 50)
+            await asyncio.sleep(LINGER / 20)
+        assert len(got) < size and channel.transport is not None
+        assert (got + await read_to_end(sock)).endswith(b"xMOVE\r\n")
+
+    in_loop(test)
