A planned stop answers every req before it ends, and takes no new one after SIGTERM

Ruled out: a crash (the process logged its end), a close over unread bytes (nothing was written to that client). Lines at fault: Node.stop ends the process at killed_from() - 0.2 s, 3.5 s at most, while Core.take gives a req the whole wait of its class, 5.2 s there; and between move_all and _end nothing looked at reqs that have no answer yet. A first line that came after SIGTERM was sent on, stood and was moved, or was still out at the end in the same way. Change: Leaving says whether the process ends; from then on the module refuses what waits and what comes, with the time to come again in, and repeats no attempt. What is out when the last moves are due has timed out and is answered (Core.answer_all).

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -148,7 +148,7 @@
         self.figures = Figures()
         self.cold = Cold()
         self.tokens = PROBES_SAVED / 2
-        self.ticking = self.asking = self.leave_due = False
+        self.ticking = self.asking = self.leave_due = self.ending = False
         self.empty_by = 0.0  # this proxy leaves: all its connections are moved by then
         self.owed = 0.0  # returns that make up for what was moved or broke here
         self.lead, self.list_failures = LEAD, 0
@@ -254,18 +254,15 @@
 
     def _draw(self, r: _Req) -> None:
         """Draw a pair, and compare it now or when its probes are back."""
-        if r.bound is not None and self.now >= r.bound_until:
-            self._give_up(r)
-            return
+        if self.ending or (r.bound is not None and self.now >= r.bound_until):
+            return self._give_up(r)
         # Guards against attempts that keep it overrun: by the excess, some wait or are told to come again.
         if self.random() < self._excess():
-            self._wait(r)
-            return
+            return self._wait(r)
         for _ in range(1 + REDRAWS):
             a = self._pick(r, None)
             if a is None:
-                self._wait(r)
-                return
+                return self._wait(r)
             b = self._pick(r, a) or a
             r.pair = pair = (a, b)
             # Condition: crossing has a price and neither of the pair is near. It is drawn again, unless the
@@ -273,8 +270,7 @@
             if a.is_local or b.is_local or self.cross <= 0 or r.redraws or r.ring_key:
                 break
         if a is b or not self.by_probe:
-            self._decide(r)
-            return
+            return self._decide(r)
         old = self.now - FRESH * r.cls.aim
         r.waiting = 0
         for s in pair:
@@ -409,8 +405,7 @@
         if a.index < 0 or b.index < 0:
             a = b = b if a.index < 0 else a
             if a.index < 0:
-                self._draw(r)
-                return
+                return self._draw(r)
         keep = a
         if a is not b:
             if self.by_probe or self.set.reports is api.Reports.ANSWERS:
@@ -500,7 +495,8 @@
         may_refuse = not r.maybe_ran or r.cls.repeat is api.Repeat.SAFE
         if r.cls.repeat is api.Repeat.KEYED and r.maybe_ran and r.cls.group is api.RepeatGroup.ALL:
             may_refuse = self.now < r.bound_until
-        after = self.set.max_retry_after * (0.5 + 0.5 * self.random())
+        most = min(LEAVE_LAG, self.set.max_retry_after) if self.ending else self.set.max_retry_after
+        after = most * (0.5 + 0.5 * self.random())
         self.out.append(api.Refuse(r.id, after) if may_refuse else api.Fail(r.id))
 
     # What comes back
@@ -699,8 +695,12 @@
             self.out.append(api.SetTimer(first + LEAVE_TICK * self.random(), f"e{s.name}"))
 
     def _on_leaving(self, e: api.Leaving) -> None:
-        """Condition: this proxy itself stops. All that it holds is moved by then, paced likewise."""
+        """Condition: this proxy itself stops. All that it holds is moved by then, paced likewise. Where its
+        process ends, what waits is refused at once: a connection stood up now would only be moved."""
         self.empty_by = min(self.empty_by or e.by, e.by)
+        self.ending = self.ending or e.ends
+        for r in [r for r in self.reqs.values() if self.ending and not r.out and not r.done]:
+            self._give_up(r)
         if not self.leave_due:
             self.leave_due = True
             self.out.append(api.SetTimer(min(LEAVE_LAG, max(0.0, e.by - self.now)), "leave"))
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -636,7 +636,7 @@
         """This node stops: the module moves all that stands, in its own pace, within that time."""
         if not self.leaving:
             self.leaving = True
-            self.feed(api.Leaving(self.now() + within))
+            self.feed(api.Leaving(self.now() + within, ends=True))
 
     def drain(self, within: float) -> None:
         """This node is out of service: all that stands, or comes to, is moved, and it stays."""
@@ -655,6 +655,13 @@
         for req in list(self.reqs.values()):
             self.move(req)
 
+    def answer_all(self) -> None:
+        """Guards against reqs that outlive this process: a class may wait longer than the platform does
+        between SIGTERM and SIGKILL. What is still out has timed out, and its client has its answer now."""
+        for req in list(self.reqs.values()):
+            if not req.standing and not req.answered:
+                self._overdue(req)
+
     # Standing sessions
 
     def heard(self, req: Req) -> None:
--- a/gradegap/interface.py
+++ b/gradegap/interface.py
@@ -227,6 +227,7 @@
     """This proxy is about to stop: every connection it holds must have been told to move by then."""
 
     by: float
+    ends: bool = False  # its process ends as well: whatever is not out to a server by now never will be
 
 
 class Returned(NamedTuple):
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -525,6 +525,12 @@
             self.session.evict(self.session.core.settings.max_retry_after)
             self.end_soon()
 
+    def end_rest(self, after: float) -> None:
+        """This process ends: a client that has not asked for anything yet is told to come again elsewhere."""
+        if self.session.opening is None and not self.closing:
+            self.session.core.stats.count("rests_ended")
+            self.session.evict(after)
+
     def end_soon(self) -> None:
         """Close as soon as all that was said is out."""
         if self.transport is not None:
--- a/gradegap/node.py
+++ b/gradegap/node.py
@@ -40,7 +40,9 @@
 DEADLINE_MOST = 3.0  # s that the longest deadline counts for there at the most
 LEAVE_MOVES = 1.1, 0.4  # s before that until which the module has moved what stands; at least that part of it
 LEAVE_AT_LEAST = 0.7  # s from SIGTERM during which clients may still come
-LEAVE_LAST = 0.7, 0.6  # s before that at which whatever stands then is moved at once; at least that part
+LEAVE_LAST = 0.7, 0.6  # s before that at which whatever is left is moved or answered; at least that part
+LEAVE_LOOK = 0.05  # s between two looks whether the last client has gone
+LEAVE_AGAIN = 0.3  # s after which a client that rested here until the end may come again, elsewhere
 DRAIN_MOVES = 2.8  # s from the call out of service until nothing stands here
 BACKLOG = 1024  # clients that may wait to be accepted
 PORT_RETRY = 0.1  # s between two tries at a port that the process before still holds
@@ -474,19 +476,28 @@
         at_least = 0.0 if self.handover.gave_way else LEAVE_AT_LEAST
         self.loop.call_later(at_least, self._look_empty)
         last = max(killed - LEAVE_LAST[0], killed * LEAVE_LAST[1])
-        self.loop.call_later(last, self.core.move_all)
+        self.loop.call_later(last, self._finish_all)
         self.loop.call_later(killed - LEAVE_AT_MOST, self._end)
 
-    def _look_empty(self) -> None:
-        # Idle connections of a front don't hold the node; answers on their way out do.
-        answering = any(c.session.opening for c in self.channels)
-        passing = self.handover.gave_way and self.handover.link is not None
-        answering = answering or (passing and bool(self.channels))
-        answering = answering or (self.quic is not None and self.quic.answering())
-        if self.core.reqs or answering:
-            self.loop.call_later(0.05, self._look_empty)
-        else:
+    def _finish_all(self) -> None:
+        """The time to leave is nearly over: nothing stands, and no req waits, from here on."""
+        self.core.move_all()
+        self.core.answer_all()
+
+    def _look_empty(self, was_empty: bool = False) -> None:
+        """End once the last client has gone, and none has come since the look before."""
+        if self.handover.link is None or not self.handover.gave_way:
+            # Guards against a request that comes to a connection as it is closed: each that rests here is
+            # told first, so that whatever its client has written meanwhile has its answer.
+            after = min(LEAVE_AGAIN, self.core.settings.max_retry_after)
+            for channel in list(self.channels):
+                channel.end_rest(after)
+        answering = self.quic is not None and self.quic.answering()
+        empty = not (self.core.reqs or self.channels or answering)
+        if empty and was_empty:
             self._end()
+        else:
+            self.loop.call_later(LEAVE_LOOK, self._look_empty, empty)
 
     def _end(self) -> None:
         self.handover.close()
@@ -496,6 +507,8 @@
             self.listening.close()
         if self.server is not None:
             self.server.close()
+        for channel in list(self.channels):
+            channel.end_soon()
         if self.quic is not None:
             self.quic.close()
         if self.store is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,13 +3,146 @@
 
 from __future__ import annotations
 
+import json
+import signal
 import socket
 import threading
+import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from tests.world import Backend, hard_reset, wait_for, world
+from tests.world import BUSY_MACHINE, SETTINGS, Backend, World, hard_reset, wait_for, world
+
+SLOW: dict[str, Any] = {"Name": "slow", "AimNs": 700_000_000, "HardLimitNs": 6_000_000_000, "Points": 1.0}
+WITH_SLOW = SETTINGS | {
+    "Lanes": [*SETTINGS["Lanes"], SLOW],
+    "FamilyInfo": {"MessageAimNs": [50_000_000, 50_000_000], "Mode": "proxy", "TenantQuotaConnections": []},
+}
+
+
+def leave(w: World) -> float:
+    """SIGTERM, and the node has seen it."""
+    w.process.send_signal(signal.SIGTERM)
+    wait_for(lambda: "event=leaving" in w.log.read_text())
+    return time.time()
+
+
+# A planned stop
+
+
+def test_a_req_that_may_wait_longer_than_the_stop_is_answered_before_the_end(tmp_path: Path) -> None:
+    """Its class waits 6 s and its server hangs; the platform kills 3.7 s after SIGTERM. The node once ended
+    at 3.5 s with the req still out, and its client's connection just closed."""
+    b = Backend("a", "silence")
+    with world(tmp_path, [b], settings=WITH_SLOW) as w:
+        c = w.client()
+        c.send("OPEN 1 2 c=slow,d=6000")
+        wait_for(lambda: b.opens)
+        began = leave(w)
+        assert c.line().startswith("BUSY ")
+        assert c.line() == ""
+        assert w.process.wait(5) == 0
+        assert time.time() - began < 3.7
+
+
+def test_first_lines_after_sigterm_are_answered_at_once_and_never_sent_on(tmp_path: Path) -> None:
+    """On new and on resting connections. They once went to a server, stood for a moment and were moved."""
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        rested, pinged = w.client(), w.client()
+        pinged.send("PING")
+        assert pinged.line() == "PONG"
+        leave(w)
+        for c in (rested, pinged, w.client()):
+            began = time.time()
+            answer = c.ask()
+            assert answer.startswith("BUSY ") and 0 < int(answer.split(" ")[1]) <= 400
+            assert time.time() - began < 0.1 + BUSY_MACHINE
+            assert c.line() == ""
+        assert not b.opens
+        assert w.process.wait(5) == 0
+
+
+def test_a_req_that_waits_for_a_probe_at_sigterm_is_answered_at_once(tmp_path: Path) -> None:
+    """Its server holds its probes; the req was sent on when it had waited for them, by a node that leaves."""
+    a, b = Backend("a"), Backend("b")
+    with world(tmp_path, [a, b], settings=WITH_SLOW) as w:
+        for each in (a, b):
+            each.mute.set()
+        c = w.client()
+        c.send("OPEN 1 2 c=slow,d=6000")
+        wait_for(lambda: any(line == "STATS" for each in (a, b) for _, line in each.lines))
+        began = leave(w)
+        assert c.line().startswith("BUSY ")
+        assert time.time() - began < 0.1 + BUSY_MACHINE
+        assert not a.opens and not b.opens
+
+
+def test_what_rests_at_the_end_of_a_stop_is_told_before_it_is_closed(tmp_path: Path) -> None:
+    """A request may be written in the very moment in which the node closes: it finds its answer there, and an
+    end, where it once found a reset or an end without a word."""
+    with world(tmp_path, [Backend("a")]) as w:
+        rested = [w.client() for _ in range(3)]
+        rested[1].send("PING")
+        assert rested[1].line() == "PONG"
+        rested[2].send(b"OPEN 1 2 c=li")  # half a first line
+        began = leave(w)
+        for c in rested:
+            assert c.line().startswith("BUSY ")
+            c.send("OPEN 9 2 c=live,d=1000")
+        for c in rested:
+            assert c.line() == ""
+        assert w.process.wait(5) == 0
+        assert 0.6 < time.time() - began < 2.5
+
+
+def test_an_attempt_that_is_out_at_sigterm_stands_and_is_moved(tmp_path: Path) -> None:
+    """`UP` and the signal in one turn of the loop, as near as two processes come: the server answers in the
+    moment in which the node has seen the signal."""
+    b = Backend("a")
+    b.hold.clear()
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        c.send("OPEN 1 2 c=live,d=1500")
+        wait_for(lambda: b.opens)
+        leave(w)
+        b.hold.set()
+        assert [c.line(), c.line(), c.line()] == ["UP a", "MOVE", ""]
+        assert w.process.wait(5) == 0
+
+
+@pytest.mark.parametrize("second", [signal.SIGTERM, signal.SIGHUP])
+def test_a_second_signal_changes_nothing_of_a_stop(tmp_path: Path, second: signal.Signals) -> None:
+    b = Backend("a")
+    with world(tmp_path, [b]) as w:
+        c = w.client()
+        assert c.ask() == "UP a"
+        began = leave(w)
+        config = json.loads(w.config.read_text())
+        w.config.write_text(json.dumps(config | {"settings": WITH_SLOW}))
+        w.process.send_signal(second)
+        assert [c.line(), c.line()] == ["MOVE", ""]
+        assert w.process.wait(5) == 0
+        assert time.time() - began < 2.5
+        assert w.log.read_text().count("event=leaving") == 1
+
+
+def test_sigterm_before_readiness_ends_the_node_as_ever(tmp_path: Path) -> None:
+    """Its list has not come yet; whoever asks meanwhile is answered."""
+    b = Backend("a")
+    w = World(tmp_path, [b], discovery="127.0.0.1:9")
+    try:
+        wait_for(lambda: "event=listening" in w.log.read_text(), 15.0)
+        c = w.client()
+        leave(w)
+        assert c.ask().startswith("BUSY ")
+        assert w.process.wait(5) == 0
+    finally:
+        w.process.kill()
+        w.process.wait()
+
 
 # Closing
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -91,6 +91,9 @@
         self.lines: list[tuple[float, str]] = []
         self.standing: list[socket.socket] = []
         self.ended: list[str] = []
+        self.mute = threading.Event()  # once set, probes are left unanswered
+        self.hold = threading.Event()  # no answer to OPEN until it is set
+        self.hold.set()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.entry = {"id": f"s-{name}", "addr": self.address, "zone": "z", "state": "Ready"}
@@ -115,6 +118,8 @@
             for raw in sock.makefile("rb"):
                 line = raw.decode().rstrip("\r\n")
                 self.lines.append((time.time(), line))
+                if line == "STATS" and self.mute.is_set():
+                    continue
                 if line == "STATS":
                     sock.sendall(f"PONG {self.load}\r\n".encode())
                 elif sock in self.standing and line == "reset":
@@ -126,6 +131,7 @@
                     hard_reset(sock)
                     return
                 elif line.startswith("OPEN") and (answer := self.answer) != "silence":
+                    self.hold.wait(10)
                     # Noted first: a client that was told UP may ask for its connection at once.
                     stands = answer.startswith("UP")
                     if stands:
