A first line is checked as it is written: client gone, backend leaving, repeat too late

What came in between was looked at only in part. Lines at fault: Core._send and Fetch.connection_made wrote for a client whose end lay unread in its socket (timers run before sockets are read, and a burst makes a turn long); Core._end_connecting gave up a fetch that was still connecting at the end of the grace that this node counts, while the word may be as old as that when it is heard; the window of a keyed repeat was looked at in Balancer._draw alone, neither in _decide, when the pair's probes are back, nor when its connection is up. Also seen: a req held back (store lease) in _send left its request in the module for good, as ClientGone came while the module held an attempt for out. Change: Core.begins is asked before the dial and again before the first line; the channel looks for its client's end with MSG_PEEK. A fetch that is connecting when its backend leaves is given up at once and goes elsewhere, after the module heard the list; connections from before the run keep the grace. Send says how long it may still be written, and a window that is over ends a wait for probes.

--- a/gradegap/choice.py
+++ b/gradegap/choice.py
@@ -118,7 +118,8 @@
     done: bool = False  # nothing more may be sent or answered
     maybe_ran: bool = False
     bound: object = None  # keyed and maybe run: the group of servers that drops its repeats
-    bound_until: float = 0.0
+    bound_until: float = math.inf  # no repeat is written after this
+    sent_at: float = 0.0  # when the last attempt was decided
     tried: list[_Server] = field(default_factory=list)
     server: _Server | None = None  # of the last attempt
     pair: tuple[_Server, _Server] | None = None  # what it waits to compare
@@ -254,7 +255,7 @@
 
     def _draw(self, r: _Req) -> None:
         """Draw a pair, and compare it now or when its probes are back."""
-        if self.ending or (r.bound is not None and self.now >= r.bound_until):
+        if self.ending or self.now >= r.bound_until:
             return self._give_up(r)
         # Guards against attempts that keep it overrun: by the excess, some wait or are told to come again.
         if self.random() < self._excess():
@@ -399,6 +400,8 @@
     def _decide(self, r: _Req) -> None:
         """Keep one of the drawn pair."""
         assert r.pair is not None
+        if self.now >= r.bound_until:  # it waited for its probes for too long
+            return self._give_up(r)
         a, b = r.pair
         r.pair, r.waiting = None, 0
         # Guards against a server that began to drain, or went, while its probe was out.
@@ -434,12 +437,10 @@
                 r.best = keep
                 if r.redraws < REDRAWS and self.now - r.arrived < FRESH * r.cls.aim:
                     r.redraws += 1
-                    self._draw(r)
-                    return
+                    return self._draw(r)
                 # Condition: no pair drawn has room. One more would spoil what is held: come again later.
                 if not room:
-                    self._give_up(r)
-                    return
+                    return self._give_up(r)
         self._send(r, keep)
 
     def _excess(self) -> float:
@@ -455,6 +456,7 @@
         last = r.most - r.attempts <= 1 or self._excess() > 0
         timeout = left if last else max(min(left, r.cls.aim), left - r.cls.aim)
         r.attempts += 1
+        r.sent_at = self.now
         # What all proxies are about to give a server is what they send: arrivals refused put nothing on any,
         # and clients moved elsewhere, who stand once more, put as much as any other.
         self.came.add(self.now)
@@ -464,11 +466,9 @@
         r.tried.append(s)
         s.own = self._own(s) + 1.0
         s.own_at = self.now
-        if r.cls.repeat is api.Repeat.KEYED and r.bound is None:
-            r.bound_until = self.now + r.cls.repeat_window  # binds only if this attempt may have run
         if s.failed >= OUT_FROM:  # one at a time finds out whether it is back
             s.out_until = self.now + OUT_FIRST
-        self.out.append(api.Send(r.id, s.name, timeout))
+        self.out.append(api.Send(r.id, s.name, timeout, r.bound_until - self.now))
 
     def _group_of(self, s: _Server, r: _Req) -> Any:
         group = r.cls.group
@@ -483,8 +483,7 @@
     def _wait(self, r: _Req) -> None:
         """Nothing may be sent to now: look again soon, and refuse when the aim has passed."""
         if self.now - r.arrived >= r.cls.aim or r.deadline - self.now <= 2 * GUARD:
-            self._give_up(r)
-            return
+            return self._give_up(r)
         wait = min(r.cls.aim / 4 * (0.5 + self.random()), r.deadline - GUARD - self.now)
         self.out.append(api.SetTimer(max(0.0, wait), f"h{r.id}"))
 
@@ -560,7 +559,7 @@
         if e.result not in api.NEVER_RAN:
             r.maybe_ran = True
             if r.cls.repeat is api.Repeat.KEYED and r.bound is None and s is not None:
-                r.bound = self._group_of(s, r)
+                r.bound, r.bound_until = self._group_of(s, r), r.sent_at + r.cls.repeat_window
         left = r.deadline - self.now
         spent = r.attempts >= r.most or left <= 2 * GUARD or e.result is api.Result.MOOT
         if spent or (r.maybe_ran and r.cls.repeat is api.Repeat.UNSAFE):
--- a/gradegap/core.py
+++ b/gradegap/core.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
@@ -59,6 +60,7 @@
 class SessionPort(Protocol):
     """A client session, as the core sees it."""
 
+    def left(self) -> bool: ...
     def stand(self) -> None: ...
     def refuse(self, after: float) -> None: ...
     def fail(self) -> None: ...
@@ -143,10 +145,15 @@
     number: int
     began: float
     wait: float
+    begin_by: float = math.inf  # it may not be written after this
     live: bool = True
     fetch: FetchPort | None = None
     timer: asyncio.TimerHandle | None = None
 
+    def begins(self) -> bool:
+        """Its connection is up: whether the first line may be written."""
+        return self.live and self.req.core.begins(self)
+
     def wrote(self) -> None:
         """The first line is out."""
         self.backend.connecting.discard(self)
@@ -257,6 +264,7 @@
         """Entries in force, for the module: who was taken out by hand drains, whatever else is said of it."""
         now = self.now()
         laid = []
+        told = []  # who leaves, by this word
         for e in entries:
             if e.phase is api.Phase.READY and e.server in self.out:
                 # It may be stopped soon after nothing new goes to it. Guards against all its clients sent
@@ -269,10 +277,12 @@
                 b.told_at = NEVER
             elif was is api.Phase.READY or b.told_at == NEVER:
                 b.told_at = self.out.get(e.server, now)
-                self._watch_grace(b)
+                told.append(b)
             if e.phase is api.Phase.GONE and was is not api.Phase.GONE:
                 self.port.forget(b)
         self.feed(api.ServerList(kind, tuple(laid)))
+        for b in told:
+            self._end_connecting(b)
 
     def take_out(self, server: str, at: float | None = None) -> bool:
         """Nothing more to this backend until the call back, whatever a director says of it in between.
@@ -305,20 +315,35 @@
         if self.out_changed is not None:
             self.out_changed()
 
-    def _watch_grace(self, b: Backend) -> None:
-        if b.connecting:
-            self.loop.call_later(send_for(self.settings), self._end_connecting, b, b.told_at)
-
-    def _end_connecting(self, b: Backend, told_at: float) -> None:
-        """Guards against a first line written to a draining backend when its grace is over: a fetch that
-        is still connecting by then is abandoned unsent."""
-        if b.told_at != told_at:
-            return
+    def _end_connecting(self, b: Backend) -> None:
+        """Guards against a first line written to a backend that leaves: when this node hears of it, the word
+        may be as old as its grace. What is connecting is given up unsent, and goes elsewhere."""
         for attempt in list(b.connecting):
-            self._abandon(attempt)
-            self.over(attempt, api.Result.CONNECT_FAILED)
+            if not attempt.req.ask.at:
+                self._give_up_unsent(attempt)
+
+    def _give_up_unsent(self, attempt: Attempt) -> None:
+        self._abandon(attempt)
+        self.over(attempt, api.Result.CONNECT_FAILED)
+
+    def begins(self, attempt: Attempt) -> bool:
+        """Whether a first line may be written now. Guards against what came since the module chose: the
+        client's end, which the loop has not read yet, the word that the backend leaves, the end of the time
+        in which a repeat is dropped there."""
+        if attempt.req.session.left():
+            self.stats.count("left_unseen")
+            self.client_gone(attempt.req)
+        elif not self._may_begin(attempt) or self.now() >= attempt.begin_by:
+            self.stats.count("begun_too_late")
+            self._give_up_unsent(attempt)
+        return attempt.live
+
+    def _may_begin(self, attempt: Attempt) -> bool:
+        # A connection from before the run stands at its backend already, for as long as the grace allows.
+        b = attempt.backend
+        return b.told_at == NEVER or bool(attempt.req.ask.at and self.in_grace(b))
 
-    def may_send(self, b: Backend) -> bool:
+    def in_grace(self, b: Backend) -> bool:
         return b.told_at == NEVER or self.now() < b.told_at + send_for(self.settings)
 
     # Client sessions
@@ -409,25 +434,22 @@
             # Guards against two attempts at once, or one after the answer.
             self.stats.count("moot")
             return
-        if self._held_back(req):
-            self.feed(api.ClientGone(req.id))
-            return
-        attempt = Attempt(req, b or Backend(a.server), req.attempts, self.now(), wait)
+        begin_by = self.now() + a.begin_within
+        attempt = Attempt(req, b or Backend(a.server), req.attempts, self.now(), wait, begin_by)
         req.attempts += 1
         req.attempt = attempt
-        if b is None or not self.may_send(b) or attempt.number >= req.most or wait <= 0:
+        if self._held_back(req):
+            self.over(attempt, api.Result.MOOT)
+        elif b is None or not self._may_begin(attempt) or attempt.number >= req.most or wait <= 0:
             self.loop.call_soon(attempt.over, api.Result.MOOT)
-            return
-        self._fetch(attempt)
+        elif self.begins(attempt):
+            self._fetch(attempt)
 
     def _fetch(self, attempt: Attempt) -> None:
         self.stats.count("sent")
-        b = attempt.backend
-        b.connecting.add(attempt)
-        if b.told_at != NEVER:
-            self._watch_grace(b)
+        attempt.backend.connecting.add(attempt)
         attempt.timer = self.loop.call_later(attempt.wait, self._time_out, attempt)
-        attempt.fetch = self.port.fetch(attempt.req.session, b, attempt.wait, attempt)
+        attempt.fetch = self.port.fetch(attempt.req.session, attempt.backend, attempt.wait, attempt)
 
     def _answer(self, req: Req, kind: str) -> None:
         req.answered = True
@@ -488,7 +510,7 @@
                 self.probing.took(self.now() - began)
             self.feed(api.ProbeResult(a.server, result, self.now() - began, report))
 
-        if b is None or not self.may_send(b):
+        if b is None or not self.in_grace(b):
             # A backend that drains past its grace gets nothing new, probes included. Guards against that
             # being taken for its silence, on which the module would move all at once: FULL says nothing.
             self.loop.call_soon(done, api.Result.FULL, None)
@@ -563,7 +585,7 @@
         if req.answered or req.id not in self.reqs:
             return
         wait = req.deadline - EARLY - self.now()
-        if b is None or not b.address or not self.may_send(b) or wait <= 0:
+        if b is None or not b.address or not self.in_grace(b) or wait <= 0:
             self._answer(req, "failed")
             req.session.fail()
             self._drop(req)
--- a/gradegap/interface.py
+++ b/gradegap/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
@@ -256,6 +257,7 @@
     id: int
     server: str
     timeout: float
+    begin_within: float = math.inf  # s, after which it may not be written any more
 
 
 class Refuse(NamedTuple):
--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -129,10 +129,12 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        # Guards against a first line for an attempt given up while it was connecting.
-        if self.over or not self.attempt.live or self.session.opening is None:
+        # Guards against a first line for an attempt given up while it was connecting, or as of now.
+        fit = not self.over and self.session.opening is not None
+        if not (fit and (self.attempt.live if self.up else self.attempt.begins())):
             self.transport.close() if self.up else self.transport.abort()
             return
+        assert self.session.opening is not None
         self.transport.set_write_buffer_limits(HIGH_WATER)
         no_delay(self.transport)
         if self.up:
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -47,6 +47,7 @@
     def close(self, ending: Ending) -> None: ...
     def pause(self) -> None: ...
     def resume(self) -> None: ...
+    def left(self) -> bool: ...
     def pinged(self) -> None: ...
     def opened(self) -> None: ...
 
@@ -328,6 +329,10 @@
 
     # From the core
 
+    def left(self) -> bool:
+        """Whether the client's end has come and waits to be read."""
+        return self.channel.left()
+
     def stand(self) -> None:
         self.standing = True
         assert self.pipe is not None
@@ -512,6 +517,21 @@
         plain = self.session.offer is None and self.session.passing is None
         return rests and plain and not self.closing and not self.paused
 
+    def left(self) -> bool:
+        """Guards against a burst that keeps the loop busy: a client's end lies in its socket, behind all that
+        came before, while a timer would send its req."""
+        if self.transport is None:
+            return not self.adopted or self.gone
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, self.fd)
+        try:
+            return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            sock.detach()  # the descriptor is the transport's
+
     def pinged(self) -> None:
         self.descriptors.rank(self, Rank.PINGED)
 
--- a/gradegap/quic/stream.py
+++ b/gradegap/quic/stream.py
@@ -91,6 +91,9 @@
 
     # The channel of the session
 
+    def left(self) -> bool:
+        return self.link.gone or self.client_ended
+
     def pinged(self) -> None:
         pass
 
--- a/gradegap/resume/move.py
+++ b/gradegap/resume/move.py
@@ -105,6 +105,9 @@
 
     # As the core sees it
 
+    def left(self) -> bool:
+        return self.session.left()
+
     def stand(self) -> None:
         self.session.stand()
 
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -16,6 +16,7 @@
 from gradegap.net.descriptors import Descriptors
 from gradegap.stats import Stats
 from tests.helpers import settings
+from tests.world import hard_reset
 
 FIRST_LINE = b"OPEN 1 2 c=live,d=1000\r\n"
 
@@ -147,3 +148,27 @@
         assert (got + await read_to_end(sock)).endswith(b"xMOVE\r\n")
 
     in_loop(test)
+
+
+@pytest.mark.parametrize(
+    ("how", "left"),
+    [("stays", False), ("speaks", False), ("ends its side", True), ("closes", True), ("resets", True)],
+)
+def test_a_client_that_left_is_seen_before_the_loop_reads_of_it(how: str, left: bool) -> None:
+    """Between a client's end and its reading lies all that the loop does first, timers that send included."""
+
+    async def test(door: Door) -> None:
+        sock, channel = await door.client()
+        match how:
+            case "speaks":
+                sock.send(b"P")
+            case "ends its side":
+                sock.shutdown(socket.SHUT_WR)
+            case "closes":
+                sock.close()
+            case "resets":
+                hard_reset(sock)
+        assert channel.left() is left  # in the same turn of the loop
+        assert channel.left() is left and (channel.transport is not None)
+
+    in_loop(test)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -56,6 +56,10 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.said: list[tuple[str, float]] = []
+        self.gone = False  # its client's end has come, and was not read yet
+
+    def left(self) -> bool:
+        return self.gone
 
     def _say(self, word: str) -> None:
         self.said.append((word, self.clock.now))
@@ -195,18 +199,79 @@
 
 
 @pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
-def test_a_fetch_still_connecting_when_the_grace_ends_is_abandoned_unsent(phase: api.Phase) -> None:
+def test_a_fetch_still_connecting_when_its_backend_leaves_is_abandoned_unsent(phase: api.Phase) -> None:
+    """At once, and not at the end of the grace: when this node hears of it, the word may be as old as that.
+    The module is told of the list first, or it would choose that backend again."""
     rig = Rig()
+    rig.script.answers[api.Outcome] = lambda e: [api.Send(e.id, "b", 5.0)]
+    rig.tell("b")
     session, _ = rig.take(wait=9.0)
     rig.tell("a", phase=phase)
-    rig.clock.run(1.95)
     assert rig.ports.fetches[0].abandoned and not rig.ports.fetches[0].sent
     assert rig.script.outcomes() == [api.Result.CONNECT_FAILED]
+    assert [type(e) for e in rig.script.events[-2:]] == [api.ServerList, api.Outcome]
+    assert [f.backend.id for f in rig.ports.fetches] == ["a", "b"]
+    del rig.script.answers[api.Outcome], rig.ports.fetches[1]
     rig.take(wait=9.0)  # and nothing new is sent there, though the module asks for it
     rig.clock.run(0.1)
     assert len(rig.ports.fetches) == 1 and rig.script.outcomes()[1:] == [api.Result.MOOT]
 
 
+def test_a_connection_from_before_the_run_has_the_grace_of_its_backend() -> None:
+    rig = Rig()
+    rig.take(wait=40.0, at="a")
+    rig.tell("a", phase=api.Phase.DRAINING)
+    assert not rig.ports.fetches[0].abandoned and rig.ports.fetches[0].attempt.begins()
+    rig.clock.run(1.95)
+    assert not rig.ports.fetches[0].attempt.begins() and rig.ports.fetches[0].abandoned
+
+
+def test_a_client_that_left_unseen_while_it_waited_is_not_sent_on() -> None:
+    """Its end lies in the socket as a timer lets the module choose: the loop was busy and did not read it."""
+    rig = Rig()
+    rig.script.answers = {api.Timer: lambda e: [api.Send(1, "a", 1.0)]}
+    session, _ = rig.take()
+    session.gone = True
+    rig.core.feed(api.Timer("h1"))
+    rig.clock.run(3.0)
+    assert not rig.ports.fetches and not session.said and not rig.core.reqs
+    gone, outcome = rig.script.events[-2:]
+    assert isinstance(gone, api.ClientGone) and isinstance(outcome, api.Outcome) and outcome.settled
+
+
+def test_a_client_that_left_unseen_during_the_dial_is_not_written_for() -> None:
+    rig = Rig()
+    session, _ = rig.take()
+    session.gone = True
+    assert not rig.ports.fetches[0].attempt.begins()
+    rig.clock.run(3.0)
+    assert rig.ports.fetches[0].abandoned and not session.said and not rig.core.reqs
+
+
+def test_a_repeat_that_could_not_be_written_within_its_window_is_not_written_after_it() -> None:
+    """It was decided in time, and its connection came up late: servers drop repeats for so long only."""
+    rig = Rig()
+    rig.script.answers[api.Request] = lambda e: [api.Send(e.id, "a", 5.0, begin_within=0.1)]
+    rig.take()
+    rig.take()
+    rig.clock.run(0.09)
+    assert rig.ports.fetches[0].attempt.begins()
+    rig.clock.run(0.02)
+    assert not rig.ports.fetches[1].attempt.begins()
+    assert rig.script.outcomes() == [api.Result.CONNECT_FAILED]
+
+
+def test_a_req_held_back_as_it_is_sent_is_over_for_the_module() -> None:
+    """The module was told that its client had gone, while an attempt that it held for out never came back."""
+    rig = Rig()
+    rig.script.answers = {api.Timer: lambda e: [api.Send(1, "a", 1.0)]}
+    session, _ = rig.take()
+    rig.core.gate = lambda: 0.5
+    rig.core.feed(api.Timer("h1"))
+    assert session.words == ["busy"] and not rig.core.reqs
+    assert isinstance(rig.script.events[-1], api.Outcome) and rig.script.events[-1].settled
+
+
 def test_a_list_told_again_does_not_begin_the_grace_anew() -> None:
     rig = Rig()
     rig.tell("a", phase=api.Phase.DRAINING)
@@ -298,6 +363,6 @@
     rig.tell("a", phase=api.Phase.DRAINING)
     b = rig.core.backends["a"]
     rig.clock.run(sends_for - 0.001)
-    assert rig.core.may_send(b)
+    assert rig.core.in_grace(b)
     rig.clock.run(0.002)
-    assert not rig.core.may_send(b)
+    assert not rig.core.in_grace(b)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import Any
 
 import pytest
@@ -97,6 +98,29 @@
     assert d.answer_probes(d.outcome(again, api.Result.TIMEOUT), 0.2) == [api.Fail(send.id)]
 
 
+def test_a_keyed_repeat_that_waits_for_its_probes_past_the_window_is_not_sent() -> None:
+    """The window was looked at as its pair was drawn, and not when the probes of that pair were back."""
+    d = Driver(classes={"live": keyed(api.RepeatGroup.ALL)})
+    (send,) = sends(d.answer_probes(d.request(), 0.2))
+    assert send.begin_within == math.inf
+    d.now += 0.9
+    drawn = d.outcome(send, api.Result.TIMEOUT)
+    probes = [a.server for a in drawn if isinstance(a, api.Probe)]
+    assert probes and not sends(drawn)
+    d.now += 0.11
+    assert d.answer_probes(drawn, 0.2) == [a for a in drawn if not isinstance(a, api.Probe)] + [
+        api.Fail(send.id)
+    ]
+
+
+def test_a_keyed_repeat_says_until_when_it_may_be_written() -> None:
+    d = Driver(classes={"live": keyed(api.RepeatGroup.ALL)})
+    (send,) = sends(d.answer_probes(d.request(), 0.2))
+    d.now += 0.4
+    (again,) = sends(d.answer_probes(d.outcome(send, api.Result.TIMEOUT), 0.2))
+    assert again.begin_within == pytest.approx(0.6)
+
+
 @pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
 def test_nothing_goes_to_a_draining_or_gone_server(phase: api.Phase) -> None:
     d = Driver(servers=3)
