Who makes way is told while there is room; the front's PING outlasts idle clients

Lines at fault: Descriptors._make_way took PINGED before UNOPENED, each by when it came to that, so a front that asks PING on one connection was closed before a crowd that says nothing; and TcpChannel.evict says BUSY and closes in one turn, so a first line on its way met a closed socket. Fetch.connection_lost told nobody when a server ended in the line that a MOVE waited for: its attempt was over for the core already, and the client was reset up to a second later. LINE_END_WAIT of 1 s after the module's last move at a stop was 0.1 s past the end of the process. Change: of those that make way the one whose last word is the oldest goes first; one thirty-second part of the descriptors before there is no room the oldest is told, and it is closed once there is none; a newcomer is never told so in place of being heard. A session that waits for a line ends with its server. LINE_END_WAIT is 0.85 s.

--- a/gradegap/net/backend.py
+++ b/gradegap/net/backend.py
@@ -203,6 +203,8 @@
             self._finish(Result.RESET if self.sent else Result.CONNECT_FAILED)
             return
         self.session.reset = exc is not None
+        if self.session.moving:
+            self.session.end()  # the line that it was to be moved behind never ends
         if self.said is not None:
             self._finish(self.said, self.report)
         elif self.eof_sent:
--- a/gradegap/net/client_session.py
+++ b/gradegap/net/client_session.py
@@ -26,7 +26,7 @@
 SLOW_PAUSE = 1.0  # s between two pieces of a first line, within which its writer is sound, but slow
 SLOW_MOST = 6.0  # s that such a one may take in all
 READ_AWAY = 16  # pieces of `HIGH_WATER` bytes that a connection which ends is read on at the most
-LINE_END_WAIT = 1.0  # s for the end of a line that is half through, before a MOVE
+LINE_END_WAIT = 0.85  # s for the end of a line that is half through, before a MOVE; a stop has that time
 
 
 class Ending(Enum):
@@ -538,11 +538,14 @@
     def opened(self) -> None:
         self.descriptors.rank(self, None)
 
+    def dismiss(self) -> None:
+        self.session.evict(self.session.core.settings.max_retry_after)
+
     def evict(self) -> None:
         if self.closing:  # its answer went out some time ago
             self.end_now()
         else:
-            self.session.evict(self.session.core.settings.max_retry_after)
+            self.dismiss()
             self.end_soon()
 
     def end_rest(self, after: float) -> None:
--- a/gradegap/net/descriptors.py
+++ b/gradegap/net/descriptors.py
@@ -1,23 +1,27 @@
 """The node's descriptors: how many are open, and who makes way when they run short.
 
 Standing sessions, fetches, probes and discovery come first. Connections that have been answered, then those
-that only ever said PING, then those that have not said what they want are closed for them, the oldest first.
+that have not said what they want are closed for them, first whose last word is the oldest: so a front that
+asks on and on whether the node is well outlasts a crowd that says nothing. They are told a little before
+there is no room, and closed when there is none.
 """
 
 from __future__ import annotations
 
 import socket
 from enum import IntEnum
+from itertools import count
 from typing import Protocol
 
 from gradegap.stats import Stats
 
 BASE = 32  # for the process itself, its listeners, discovery, the store's peers and some probes
 DIALS = 16  # one part in so many is kept from new clients, for fetches and probes
+TOLD = 32  # one part in so many are told that they make way before they have to
 
 
 class Rank(IntEnum):
-    """Who makes way first."""
+    """What a connection that may make way has come to; the answered ones go first."""
 
     ANSWERED = 0
     PINGED = 1
@@ -25,6 +29,9 @@
 
 
 class Evictable(Protocol):
+    def dismiss(self) -> None:
+        """Say that it has to make way; a `rank` as answered follows."""
+
     def evict(self) -> None:
         """Close at once; `release` follows."""
 
@@ -36,8 +43,9 @@
         self.held = 0
         self.base = BASE
         self.beside = 0  # what another process of this node holds: both have one limit
-        # Dictionaries for their order: the oldest is the first.
-        self.ranks: tuple[dict[Evictable, None], ...] = tuple({} for _ in Rank)
+        # Each with the number of its last word. The oldest is the first, in a dictionary's own order.
+        self.ranks: tuple[dict[Evictable, int], ...] = tuple({} for _ in Rank)
+        self.words = count()
         stats.gauge("sockets", lambda: f"{self.held}/{self.limit}")
 
     def reserve(self, count: int) -> None:
@@ -56,14 +64,22 @@
         the descriptors that those who ask need."""
         self.held += 1
         self.rank(channel, Rank.UNOPENED)
-        self._make_way(self.limit - self.base - self.beside - self.limit // DIALS)
+        most = self.limit - self.base - self.beside - self.limit // DIALS
+        # Guards against a close in the very moment in which a client asks: it is told while there still is
+        # room, and what it has sent meanwhile is read away.
+        if self.held - len(self.ranks[Rank.ANSWERED]) > most - self.limit // TOLD:
+            rank, oldest = self._oldest(Rank.PINGED, Rank.UNOPENED)
+            if oldest is not None and oldest is not channel:
+                self.stats.count(f"evicted_{rank.name.lower()}")
+                oldest.dismiss()
+        self._make_way(most)
 
     def rank(self, channel: Evictable, rank: Rank | None) -> None:
         """What a channel has come to; None: it is in use and stays."""
         for each in self.ranks:
             each.pop(channel, None)
         if rank is not None:
-            self.ranks[rank][channel] = None
+            self.ranks[rank][channel] = next(self.words)
 
     def released(self, channel: Evictable) -> None:
         self.held -= 1
@@ -77,13 +93,21 @@
     def _make_way(self, most: int) -> None:
         if self.held <= most:
             return
-        for rank in Rank:
-            if self.ranks[rank]:
-                channel = next(iter(self.ranks[rank]))
-                self.rank(channel, None)
-                self.stats.count(f"evicted_{rank.name.lower()}")
-                channel.evict()
-                return
+        rank, channel = self._oldest(Rank.ANSWERED)
+        if channel is None:
+            rank, channel = self._oldest(Rank.PINGED, Rank.UNOPENED)
+        if channel is not None:
+            self.rank(channel, None)
+            self.stats.count(f"evicted_{rank.name.lower()}")
+            channel.evict()
+
+    def _oldest(self, *ranks: Rank) -> tuple[Rank, Evictable | None]:
+        """Of these, whose last word is the oldest."""
+        first = [(*next(iter(held.items())), rank) for rank in ranks if (held := self.ranks[rank])]
+        if not first:
+            return ranks[0], None
+        channel, _, rank = min(first, key=lambda each: each[1])
+        return rank, channel
 
 
 class DialedSocket(socket.socket):
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -172,3 +172,19 @@
         assert channel.left() is left and (channel.transport is not None)
 
     in_loop(test)
+
+
+def test_a_client_that_is_told_to_make_way_may_ask_in_that_moment() -> None:
+    """It is told, and closed once there is no room any more: its line comes in between and has its answer."""
+
+    async def test(door: Door) -> None:
+        sock, channel = await door.client()
+        channel.dismiss()
+        await asyncio.sleep(0)
+        sock.send(FIRST_LINE)  # on its way as the end came
+        channel.evict()
+        assert (await read_to_end(sock)).startswith(b"BUSY ")
+        await door.until(lambda: door.descriptors.held == 0, 2.0)
+        assert not was_reset(sock) and not door.core.reqs
+
+    in_loop(test)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from tests.world import BUSY_MACHINE, SETTINGS, Backend, World, hard_reset, wait_for, world
+from tests.test_console import call
+from tests.world import BUSY_MACHINE, SETTINGS, Backend, World, free_port, hard_reset, wait_for, world
 
 SLOW: dict[str, Any] = {"Name": "slow", "AimNs": 700_000_000, "HardLimitNs": 6_000_000_000, "Points": 1.0}
 WITH_SLOW = SETTINGS | {
@@ -176,3 +177,19 @@
         wait_for(lambda: w.counters()["open_sessions"] == "0", 8.0)  # silent, and so moved
         # What is left: the call to discovery, and the connection that carries probes.
         wait_for(lambda: w.counters()["sockets"].startswith("2/"), 5.0)
+
+
+def test_a_server_that_ends_in_the_line_that_a_move_waits_for_ends_its_client_at_once(tmp_path: Path) -> None:
+    """The client was told of nothing until the wait for the line was over, and then by a reset."""
+    b, console = Backend("a"), f"127.0.0.1:{free_port()}"
+    with world(tmp_path, [b], console=console) as w:
+        c = w.client()
+        assert c.ask() == "UP a"
+        b.standing[0].sendall(b"half")
+        assert c.sock.recv(4) == b"half"
+        assert call(console, "out-of-service") == 200
+        wait_for(lambda: w.counters().get("moved") == "1")
+        began = time.time()
+        b.standing[0].shutdown(socket.SHUT_RDWR)
+        assert c.line() == ""
+        assert time.time() - began < 0.3 + BUSY_MACHINE
