--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -188,3 +188,20 @@
         assert not was_reset(sock) and not door.core.reqs
 
     in_loop(test)
+
+
+def test_a_reset_between_the_accept_and_the_first_read_leaves_nothing() -> None:
+    """The system has accepted, and the loop has not: a channel is made for a connection that is gone."""
+
+    async def test(door: Door) -> None:
+        for said in (b"", FIRST_LINE, b"PING\r\n"):
+            sock = socket.create_connection(door.listener.getsockname())
+            sock.send(said)
+            hard_reset(sock)
+        sock, _channel = await door.client()
+        await door.until(lambda: door.descriptors.held == 1 and len(door.live) == 1, 2.0)
+        sock.close()
+        await door.until(lambda: door.descriptors.held == 0, 2.0)
+        assert not door.core.reqs
+
+    in_loop(test)
--- /dev/null
+++ b/tests/test_cold_ramp.py
@@ -0,0 +1,227 @@
+"""What all processes together send to servers that have just started: twenty and thirty modules at once.
+
+A cold server bears `fall_multiple` times what it can do at that moment in any `fall_time`: N calls. Beyond it
+2 sqrt(N) + 2 are chance. The budget is looked at over every window, of every cold server, for traffic spread
+unevenly over the processes, in steady service, in waves of returns, and where some were not told of it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from dataclasses import dataclass
+from itertools import count
+from random import Random
+from typing import Any
+
+import pytest
+
+from gradegap import interface as api
+from gradegap.choice import Balancer
+from tests.helpers import CLASS
+
+SERVERS = 20
+LENGTH = 16.0  # s from the start of the cold servers
+BEFORE = 30.0  # s of service before it
+LIFE = 20.0  # s that a connection stands on average
+RETURN = 0.6  # s about after which a client that was refused comes again
+
+
+@dataclass(frozen=True)
+class Deployment:
+    cold_share: float
+    cold_time: float
+    fall_multiple: float
+    fall_time: float
+    report_pace: float = 0.6
+
+
+SLOW = Deployment(0.13, 24.0, 2.5, 3.0)
+QUICK = Deployment(0.31, 8.6, 2.5, 3.0, 0.25)
+NARROW = Deployment(0.2, 12.0, 2.2, 1.5)
+
+
+class Ramp:
+    """Processes, servers whose load is what they hold, and clients that come again."""
+
+    def __init__(
+        self, processes: int, kind: Deployment, seed: int, load: float, cold: int, told: float = 1.0
+    ) -> None:
+        self.kind, self.cold = kind, [f"s{k}" for k in range(cold)]
+        self.rng = Random(seed)
+        self.now, self.order = 0.0, count()
+        self.queue: list[tuple[float, int, Any]] = []
+        self.settings = settings = api.Settings(
+            classes={"live": CLASS},
+            balancers=processes,
+            max_attempts=3,
+            max_retry_after=1.0,
+            reports=api.Reports.PROBE,
+            report_fields=("x0", "inflight"),
+            cold_share=kind.cold_share,
+            cold_time=kind.cold_time,
+            fall_multiple=kind.fall_multiple,
+            fall_time=kind.fall_time,
+        )
+        self.nodes = [Balancer(settings, 1000 * seed + k) for k in range(processes)]
+        self.weights = [
+            self.rng.uniform(0.2, 1.0) ** 2 * (4.0 if k % 7 == 0 else 1.0) for k in range(processes)
+        ]
+        self.full = 60.0  # connections that fill a warm server
+        self.rate = load * SERVERS * self.full / LIFE  # arrivals a second that keep that load
+        self.held = {f"s{k}": 0 for k in range(SERVERS)}
+        self.seen = dict.fromkeys(self.held, 0)  # as reports have it
+        self.sends: list[tuple[float, str]] = []
+        self.refused = self.asked = self.ids = self.life = 0
+        self.untold = {k for k in range(processes) if self.rng.random() >= told}
+        gone = [api.ServerEntry(s) for s in self.held if s not in self.cold]
+        for node in self.nodes:
+            self.feed(node, api.ServerList(api.ListKind.FULL, tuple(gone)))
+
+    def at(self, after: float, then: Any) -> None:
+        heapq.heappush(self.queue, (self.now + after, next(self.order), then))
+
+    def feed(self, node: Balancer, event: api.Event) -> None:
+        for a in node.handle(self.now, event):
+            match a:
+                case api.Send():
+                    self.sends.append((self.now, a.server))
+                    self.held[a.server] += 1
+                    self.at(0.05, lambda a=a, life=self.life: self.stands(node, a, life))
+                case api.Probe():
+                    x0 = self.seen[a.server] / (self.full * self.part(a.server))
+                    report = {"x0": x0 + 1e-9 * next(self.order), "inflight": float(self.seen[a.server])}
+                    result = api.ProbeResult(a.server, api.Result.OK, 0.01, report)
+                    self.at(0.01, lambda r=result, life=self.life: self.tell(node, r, life))
+                case api.SetTimer():
+                    self.at(a.wait, lambda t=a.token, life=self.life: self.tell(node, api.Timer(t), life))
+                case api.Refuse() | api.Fail():
+                    self.refused += 1
+                    self.at(self.rng.uniform(0.5, 1.5) * RETURN, self.arrives)
+                case api.Move():
+                    self.at(self.rng.uniform(0.5, 1.5) * RETURN, self.arrives)
+
+    def tell(self, node: Balancer, event: api.Event, life: int) -> None:
+        if life == self.life:  # it is not a process that was
+            self.feed(node, event)
+
+    def stands(self, node: Balancer, a: api.Send, life: int) -> None:
+        self.tell(node, api.Established(a.id, 0, a.server, 0.05), life)
+        self.at(self.rng.expovariate(1.0 / LIFE), lambda: self.ends(node, a, life))
+
+    def ends(self, node: Balancer, a: api.Send, life: int) -> None:
+        if life == self.life:
+            self.held[a.server] -= 1
+            self.feed(node, api.Outcome(a.id, 0, a.server, api.Result.OK, 1.0, True))
+
+    def part(self, server: str) -> float:
+        if server not in self.cold or self.now < 0.0:
+            return 1.0
+        grown = max(0.0, self.now) / self.kind.cold_time
+        return min(1.0, self.kind.cold_share + (1.0 - self.kind.cold_share) * grown)
+
+    def arrives(self) -> None:
+        self.asked += 1
+        self.ids += 1
+        node = self.rng.choices(self.nodes, self.weights)[0]
+        self.feed(node, api.Request(self.ids, "live", self.now + 2.0))
+
+    def flow(self) -> None:
+        self.arrives()
+        self.at(self.rng.expovariate(self.rate), self.flow)
+
+    def reports(self) -> None:
+        self.seen = dict(self.held)
+        self.at(self.kind.report_pace, self.reports)
+
+    def begin(self) -> None:
+        """The cold servers are there; all but a few processes are told."""
+        for k, node in enumerate(self.nodes):
+            if k not in self.untold:
+                new = tuple(api.ServerEntry(s, started_at=1e-6) for s in self.cold)
+                self.feed(node, api.ServerList(api.ListKind.DELTA, new))
+
+    def restart(self) -> None:
+        """All processes begin anew, with the list and nothing else; whoever stood comes again."""
+        self.life += 1
+        self.held = dict.fromkeys(self.held, 0)
+        entries = tuple(api.ServerEntry(s, started_at=1e-6 if s in self.cold else 0.0) for s in self.held)
+        self.nodes = [Balancer(self.settings, next(self.order)) for _ in self.nodes]
+        for node in self.nodes:
+            self.feed(node, api.ServerList(api.ListKind.CACHED, entries))
+        self.wave(1.0)
+
+    def wave(self, size: float) -> None:
+        """So many of those who stand come again at once."""
+        for _ in range(round(size * self.rate * LIFE)):
+            self.at(self.rng.uniform(0.1, 1.1), self.arrives)
+
+    def run(self, wave: float = 0.0, restart: bool = False) -> None:
+        self.now = -BEFORE
+        self.reports()
+        self.flow()
+        self.at(BEFORE, self.begin)
+        if restart:
+            self.at(BEFORE + 0.5, self.restart)
+        elif wave:
+            self.at(BEFORE + 0.5, lambda: self.wave(wave))
+        while self.queue and self.queue[0][0] < LENGTH:
+            self.now, _, then = heapq.heappop(self.queue)
+            then()
+
+    def worst(self) -> float:
+        """The most that any window of any cold server got, over what it bears with chance."""
+        window, worst = self.kind.fall_time, 0.0
+        for server in self.cold:
+            sent: deque[float] = deque()
+            for at, _ in [each for each in self.sends if each[1] == server]:
+                sent.append(at)
+                while sent[0] <= at - window:
+                    sent.popleft()
+                begun = max(0.0, at - window)
+                share = self.kind.cold_share + (1.0 - self.kind.cold_share) * begun / self.kind.cold_time
+                n = self.kind.fall_multiple * min(1.0, share) * self.full / LIFE * window
+                worst = max(worst, len(sent) / (n + 2.0 * math.sqrt(n) + 2.0))
+        return worst
+
+    def used(self) -> float:
+        """What the cold servers hold in the end, over what they could then."""
+        return sum(self.held[s] / (self.full * self.part(s)) for s in self.cold) / len(self.cold)
+
+
+CASES = [
+    (processes, kind, load, cold, wave, told)
+    for processes in (20, 30)
+    for kind in (SLOW, QUICK, NARROW)
+    for load, cold, wave, told in [
+        (0.4, 1, 0.0, 1.0),
+        (0.4, 6, 0.0, 1.0),
+        (0.4, 2, 0.5, 1.0),
+        (0.6, 4, 0.3, 0.7),
+    ]
+]
+
+
+@pytest.mark.parametrize(("processes", "kind", "load", "cold", "wave", "told"), CASES)
+def test_the_sum_of_all_processes_keeps_a_cold_servers_budget_and_uses_it(
+    processes: int, kind: Deployment, load: float, cold: int, wave: float, told: float
+) -> None:
+    day = Ramp(processes, kind, 5 * processes + cold, load, cold, told)
+    day.run(wave)
+    print(f"{processes} {kind}: {day.worst():.2f} of what it bears, used {day.used():.2f}")
+    assert day.worst() <= 1.0
+    assert day.used() > 0.25 * load
+
+
+@pytest.mark.parametrize("processes", [20, 30])
+@pytest.mark.parametrize("kind", [SLOW, QUICK, NARROW])
+@pytest.mark.parametrize("cold", [1, 6])
+def test_processes_that_all_begin_anew_keep_a_cold_servers_budget(
+    processes: int, kind: Deployment, cold: int
+) -> None:
+    """They know no rates and no loads, and all who stood come again within a second."""
+    day = Ramp(processes, kind, 7 * processes + cold, 0.4, cold)
+    day.run(restart=True)
+    print(f"{processes} {kind} {cold=}: {day.worst():.2f} of what it bears, used {day.used():.2f}")
+    assert day.worst() <= 1.0
