--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -101,6 +101,7 @@
     def __init__(self) -> None:
         self.fetches: list[Fetch] = []
         self.probed: list[str] = []
+        self.forgotten: list[str] = []
 
     def fetch(self, session: Any, backend: Backend, wait: float, attempt: Attempt) -> Fetch:
         self.fetches.append(Fetch(attempt, backend))
@@ -112,7 +113,7 @@
         self.probed.append(backend.id)
 
     def forget(self, backend: Backend) -> None:
-        pass
+        self.forgotten.append(backend.id)
 
 
 class Script:
@@ -272,6 +273,20 @@
     assert isinstance(rig.script.events[-1], api.Outcome) and rig.script.events[-1].settled
 
 
+def test_a_backend_restarted_under_its_id_is_a_new_one_for_what_was_known_of_it() -> None:
+    """Its drain is over, its report and its probe connection are the old process's."""
+    rig = Rig()
+    rig.tell("a", phase=api.Phase.DRAINING)
+    rig.core.recall(rig.core.now(), "a", {"x0": 0.9})
+    rig.clock.run(5.0)
+    rig.ports.forgotten.clear()
+    rig.tell("a", started_at=rig.core.now())
+    b = rig.core.backends["a"]
+    assert rig.ports.forgotten == ["a"] and b.report is None and rig.core.in_grace(b)
+    rig.take()
+    assert [f.backend.id for f in rig.ports.fetches] == ["a"]
+
+
 def test_a_list_told_again_does_not_begin_the_grace_anew() -> None:
     rig = Rig()
     rig.tell("a", phase=api.Phase.DRAINING)
