--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -112,8 +112,8 @@
             before = len(a.attempts) + len(b.attempts)
             said = w.client().ask("c=keyed,d=1500", ident=f"{k:x}")
             tried = len(a.attempts) + len(b.attempts) - before
-            # What the other zone serves had no attempt in the first, where it may have run; what broke there is
-            # neither served elsewhere nor refused, as a client's repeat might go elsewhere too.
+            # What the other zone serves had no attempt in the first, where it may have run; and what broke
+            # there is neither served elsewhere nor refused, as a client's repeat might go elsewhere too.
             assert not tried or said == "ERR"
             broke += tried
         assert broke
