--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -85,7 +85,7 @@
 def test_what_follows_an_attempt_that_broke(tmp_path: Path, effect: str, where: str) -> None:
     """Each server breaks in the same way, and so every attempt; of an unsafe class one may have run."""
     made = [Breaks("a", where), Breaks("b", where)]
-    with world(tmp_path, made, settings=settings(lane(effect))) as w:
+    with world(tmp_path, [*made], settings=settings(lane(effect))) as w:
         c, began = w.client(), time.monotonic()
         said = c.ask(f"c={effect},d=1500")
         assert time.monotonic() - began < 1.5 + 0.07 + BUSY_MACHINE
