A list or configuration nested without end is refused like any other that can't be read

Line at fault: the parser raises RecursionError for nesting without end, which is none of its own errors; Director.answer and configuration.load caught only those. A list so made went past the one clear error as a traceback, and its call was counted as ended by discovery; a configuration so made was neither counted (reloads_failed) nor one line. Change: both catch it with the parser's errors.

--- a/gradegap/configuration.py
+++ b/gradegap/configuration.py
@@ -72,7 +72,7 @@
         names = msgspec.json.decode(data) | {"known": None}
     except OSError as error:
         raise BadConfig(f"{path} can't be read: {error.strerror}") from None
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise BadConfig(f"{path} is no configuration: {error}") from None
     written = msgspec.structs.replace(config)
     config.name = os.environ.get("NODE_NAME") or config.name
--- a/gradegap/net/director.py
+++ b/gradegap/net/director.py
@@ -29,6 +29,8 @@
 LOOK_AGAIN = 0.01  # s in which an answer that has come is read, before its call is held silent
 BUSY = (429, 502, 503, 504)  # answers of a discovery that is there, but short of room
 LARGEST = 8 * 1024 * 1024  # bytes of one answer
+# What the parser raises; nesting without end is an error of its own.
+UNREADABLE = (msgspec.MsgspecError, RecursionError)
 STATES = {"Ready": api.Phase.READY, "Terminating": api.Phase.DRAINING, "Gone": api.Phase.GONE}
 
 
@@ -79,10 +81,10 @@
         for raw in self.servers:
             try:
                 told.append(msgspec.json.decode(raw, type=Item).entry())
-            except ValueError as error:  # msgspec's are of that kind
+            except (ValueError, *UNREADABLE) as error:
                 stats.count("list_items_bad")
                 log.warning("entry of the list ignored", error=str(error)[:200])
-                with contextlib.suppress(msgspec.MsgspecError):
+                with contextlib.suppress(*UNREADABLE):
                     name = msgspec.json.decode(raw, type=Named).id
                     told += [last[name]] if self.full and name in last else []
         if self.full:
@@ -140,7 +142,7 @@
         """An answer to the call that is out; empty: it was taken, else why it was not."""
         try:
             listing = self.decoder.decode(body)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except UNREADABLE as error:
             log.warning("list malformed", error=str(error))
             return "malformed"
         if why := self.clock.fits(self.core.loop.time(), listing.full, listing.version):
