--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -46,7 +46,14 @@
     """Processes, servers whose load is what they hold, and clients that come again."""
 
     def __init__(
-        self, processes: int, kind: Deployment, seed: int, load: float, cold: int, told: float = 1.0
+        self,
+        processes: int,
+        kind: Deployment,
+        seed: int,
+        load: float,
+        cold: int,
+        told: float = 1.0,
+        groups: int = 0,
     ) -> None:
         self.kind, self.cold = kind, [f"s{k}" for k in range(cold)]
         self.rng = Random(seed)
@@ -57,8 +64,10 @@
             balancers=processes,
             max_attempts=3,
             max_retry_after=1.0,
-            reports=api.Reports.PROBE,
-            report_fields=("x0", "inflight"),
+            probes=not groups,
+            reports=api.Reports.NONE if groups else api.Reports.PROBE,
+            report_fields=() if groups else ("x0", "inflight"),
+            groups=groups > 0,
             cold_share=kind.cold_share,
             cold_time=kind.cold_time,
             fall_multiple=kind.fall_multiple,
@@ -68,6 +77,7 @@
         self.weights = [
             self.rng.uniform(0.2, 1.0) ** 2 * (4.0 if k % 7 == 0 else 1.0) for k in range(processes)
         ]
+        self.groups = [1.0 / (k + 1) for k in range(groups)]  # how often each asks
         self.full = 60.0  # connections that fill a warm server
         self.rate = load * SERVERS * self.full / LIFE  # arrivals a second that keep that load
         self.held = {f"s{k}": 0 for k in range(SERVERS)}
@@ -125,7 +135,8 @@
         self.asked += 1
         self.ids += 1
         node = self.rng.choices(self.nodes, self.weights)[0]
-        self.feed(node, api.Request(self.ids, "live", self.now + 2.0))
+        team = f"g{self.rng.choices(range(len(self.groups)), self.groups)[0]}" if self.groups else ""
+        self.feed(node, api.Request(self.ids, "live", self.now + 2.0, team=team))
 
     def flow(self) -> None:
         self.arrives()
@@ -157,13 +168,13 @@
         for _ in range(round(size * self.rate * LIFE)):
             self.at(self.rng.uniform(0.1, 1.1), self.arrives)
 
-    def run(self, wave: float = 0.0, restart: bool = False) -> None:
+    def run(self, wave: float = 0.0, restart: bool = False, after: float = 0.5) -> None:
         self.now = -BEFORE
         self.reports()
         self.flow()
         self.at(BEFORE, self.begin)
         if restart:
-            self.at(BEFORE + 0.5, self.restart)
+            self.at(BEFORE + after, self.restart)
         elif wave:
             self.at(BEFORE + 0.5, lambda: self.wave(wave))
         while self.queue and self.queue[0][0] < LENGTH:
@@ -225,3 +236,16 @@
     day.run(restart=True)
     print(f"{processes} {kind} {cold=}: {day.worst():.2f} of what it bears, used {day.used():.2f}")
     assert day.worst() <= 1.0
+
+
+def test_groups_whose_home_is_cold_do_not_push_it_over() -> None:
+    """Their draws begin at one server of the ring that all processes share, and its budget is reckoned by an
+    even share of arrivals. No probes, as one customer has it, and all processes begin anew, so nobody holds a
+    group elsewhere. It was the first guess at what pushed one over on a large day, and does not show here."""
+    worst = []
+    for seed in range(6):
+        day = Ramp(30, Deployment(0.13, 24.0, 3.0, 1.5), seed, 0.4, 3, groups=45)
+        day.run(restart=True, after=9.0)
+        worst.append(day.worst())
+    print("of what it bears:", " ".join(f"{each:.2f}" for each in worst))
+    assert max(worst) <= 1.0
