Review: each case names its own record.txt, and ends commands that still run

The path of the record was built in the shared module alone. Save servers' first lines stand in the record now, commands of the store are ended with the other processes, and SIGTERM, SIGINT and SIGHUP end a case as its time limit does.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -115,4 +115,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, test_each_request_gets_an_answer, OneNode)
+    run_case(Path(__file__).with_name("record.txt"), test_each_request_gets_an_answer, OneNode)
--- a/review/standins.py
+++ b/review/standins.py
@@ -32,6 +32,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 RUN_COMMAND: str = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
 LONGEST_RUN_S = 110
+STOP_SIGNALS = (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -203,7 +204,10 @@
             "--node",
             self.members[name],
         ]
-        result = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60, check=False)
+        process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        self.processes.append(process)
+        out, err = process.communicate()
+        result = subprocess.CompletedProcess(command, process.returncode, out.decode(), err.decode())
         shown = " ".join(word if len(word) < 60 else f"({len(word)} bytes)" for word in words)
         output = (result.stdout or result.stderr).strip().replace("\n", "; ")
         self.record.write(f"store {shown} at {name}: exit {result.returncode}, {output[:160]!r}")
@@ -244,9 +248,11 @@
 
     def close(self) -> None:
         """Kill every process that was started here, and remove the temporary folder."""
+        for server in self.save_servers:
+            for line in server.open_lines:
+                self.record.write(f"save server {server.name} got: {line}")
         for process in self.processes:
             if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
         for agent in self.discovery.values():
@@ -268,12 +274,12 @@
 Setup = TypeVar("Setup", bound=Closable)
 
 
-def run_case(folder: Path, case: Callable[[Setup], bool], set_up: Callable[[Record], Setup]) -> None:
+def run_case(record_path: Path, case: Callable[[Setup], bool], set_up: Callable[[Record], Setup]) -> None:
     """Run a case, which returns whether the rule held; exits with 0, 1 (broken) or 2 (could not run)."""
-    signal.signal(signal.SIGALRM, _stop_run)
-    signal.signal(signal.SIGTERM, _stop_run)
+    for number in STOP_SIGNALS:
+        signal.signal(number, _stop_run)
     signal.alarm(LONGEST_RUN_S)
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     record.write(f"TROUBLE={int(TROUBLE)}")
     status, deployment = NOT_RUN, None
     try:
@@ -282,11 +288,12 @@
     except Exception:
         record.write("could not run: " + traceback.format_exc())
     finally:
-        signal.alarm(0)
+        for number in STOP_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)  # nothing may interrupt the end of the processes
         if deployment is not None:
             deployment.close()
     result = {HELD: "the rule held", BROKEN: "the rule was BROKEN", NOT_RUN: "the case could not run"}[status]
     record.write(f"{result}; exit {status}")
-    sys.stdout.write(f"{folder.name}: {result}\n")
+    sys.stdout.write(f"{record_path.parent.name}: {result}\n")
     sys.stdout.flush()
     os._exit(status)  # the stand-ins' threads need not end
