A save server listed again keeps its entry when an earlier attempt at it ends

Cause: `EndpointRegistry.forget_unused` deleted by name. An attempt in flight does not keep its endpoint registered. The list removes the endpoint and names it again: the registry forgets the object and makes another one under the name, while the request still refers to the first. When that attempt or connection ends, `RequestLifecycle._release` passes the first object on, which is removed and has no connections, and the second one was deleted, though it stays in `ready` and on the hash ring. `Grouping._candidates` then looked up a name of the ring and raised KeyError in the middle of a client's first line. Without groups nothing raises, but the next entry of the list made a third object, the second one stayed in `ready` for ever, and was still drawn after the server had gone.

Change: an endpoint is deleted only if the registry still holds this very object under its name. Then all ready endpoints are registered, which is what the look-up by the ring's names needs.

--- a/gradegap/balancing/endpoint_registry.py
+++ b/gradegap/balancing/endpoint_registry.py
@@ -26,8 +26,13 @@
     """All known endpoints, and the ready ones among them.
 
     Invariants: `ready[endpoint.ready_index] is endpoint` for each ready endpoint, `ready_index` is -1 for all
-    other endpoints, and the hash ring contains exactly the ready endpoints. A removed endpoint stays in
-    the registry while this proxy has connections to it.
+    other endpoints, and the hash ring contains exactly the ready endpoints. All ready endpoints are
+    registered under their names. A removed endpoint stays in the registry while this proxy has connections to
+    it.
+
+    An attempt in flight does not keep its endpoint registered. If the endpoint is removed from the list
+    meanwhile, the request refers to a forgotten object. If it is listed again, another object has its name.
+    `forget_unused` leaves the other object alone.
     """
 
     __slots__ = (
@@ -78,9 +83,13 @@
         return self.endpoints.setdefault(name, Endpoint(name))
 
     def forget_unused(self, endpoint: Endpoint) -> None:
-        """Deletes an endpoint that was removed from the endpoint list and has no connections left."""
-        if endpoint.phase is EndpointPhase.REMOVED and not endpoint.connections:
-            self.endpoints.pop(endpoint.name, None)
+        """Deletes an endpoint that was removed from the endpoint list and has no connections left.
+
+        Another endpoint that was registered under the same name since then is kept.
+        """
+        is_unused = endpoint.phase is EndpointPhase.REMOVED and not endpoint.connections
+        if is_unused and self.endpoints.get(endpoint.name) is endpoint:
+            del self.endpoints[endpoint.name]
 
     def _back_off(self) -> None:
         """Schedules the next call to discovery after a failure.
