A connection is added to the endpoint that the registry holds, not to a forgotten one

Callers would see a client that is never told MOVE: its server left the list while its request was out, the server confirmed the request afterwards, and the node then leaves the client where it is until the connection breaks.

The registry forgets an endpoint without connections while a request still refers to it. When the attempt was established, the connection was added to the forgotten object. What finds endpoints through the registry never saw it: the rounds of a drain, whose timer names the endpoint, the rounds of the node's own drain, scheduled health checks, and the migration off an overloaded endpoint. If the endpoint was listed again, its new object counted one connection too few.

Change: `EndpointRegistry.rejoin` gives the endpoint that holds the name now, or registers the forgotten one again, where it drains as any other removed endpoint does. `established` uses it.

--- a/gradegap/balancing/endpoint_registry.py
+++ b/gradegap/balancing/endpoint_registry.py
@@ -26,13 +26,12 @@
     """All known endpoints, and the ready ones among them.
 
     Invariants: `ready[endpoint.ready_index] is endpoint` for each ready endpoint, `ready_index` is -1 for all
-    other endpoints, and the hash ring contains exactly the ready endpoints. All ready endpoints are
-    registered under their names. A removed endpoint stays in the registry while this proxy has connections to
-    it.
+    other endpoints, and the hash ring contains exactly the ready endpoints. All ready endpoints, and all to
+    which this proxy has connections, are registered under their names.
 
     An attempt in flight does not keep its endpoint registered. If the endpoint is removed from the list
     meanwhile, the request refers to a forgotten object. If it is listed again, another object has its name.
-    `forget_unused` leaves the other object alone.
+    `rejoin` replaces such a reference, and `forget_unused` leaves the other object alone.
     """
 
     __slots__ = (
@@ -82,6 +81,13 @@
         """Returns the endpoint with this name, creating it if it is unknown."""
         return self.endpoints.setdefault(name, Endpoint(name))
 
+    def rejoin(self, endpoint: Endpoint) -> Endpoint:
+        """Returns the endpoint that is registered under this one's name; registers this one if there is none.
+
+        To be called before a connection is added to an endpoint that may have been forgotten meanwhile.
+        """
+        return self.endpoints.setdefault(endpoint.name, endpoint)
+
     def forget_unused(self, endpoint: Endpoint) -> None:
         """Deletes an endpoint that was removed from the endpoint list and has no connections left.
 
--- a/gradegap/balancing/request_lifecycle.py
+++ b/gradegap/balancing/request_lifecycle.py
@@ -106,7 +106,7 @@
         if request is None or request.endpoint is None:
             return
         request.established = True
-        endpoint = request.endpoint
+        endpoint = request.endpoint = self.registry.rejoin(request.endpoint)
         self.outliers.connection_established(endpoint)
         self.table.hold(endpoint, request)
         if endpoint.phase is not EndpointPhase.READY:  # it started to drain during the attempt
