A client whose decision raises an exception is answered ERR at once

Cause: `ProxyContext.feed` let the exception through. In a client's first line it passed the session and the channel up to the event loop, which closes the connection of a protocol that raises. In the end of an attempt it closed the server's side, and the client waited for its deadline. In an endpoint list it kept the proxy from cancelling attempts that still connect to a draining endpoint.

If the event was a request's arrival or the end of its attempt, and no attempt is in progress, the request fails at once and ends for the balancer too. The log's lines now hold the traceback, escaped in one line.

Evidence: the five new tests fail without the change (b'' where ERR is due, the others with the KeyError) and pass with it.

Left open: actions that the balancer had decided on before it raised are not carried out, so a timer or a MOVE among them is lost; a recording lacks the event.

--- a/gradegap/node/process.py
+++ b/gradegap/node/process.py
@@ -67,6 +67,7 @@
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
             structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
--- a/gradegap/proxy/lifecycle.py
+++ b/gradegap/proxy/lifecycle.py
@@ -1,13 +1,19 @@
 """The course of a request: arrival, the balancer's answer, client disconnect, deadline, migration.
 
 Invariants: a request is answered at most once; a request that the balancer does not answer fails at its
-deadline; a client that disconnected gets no answer.
+deadline, or at once if the balancer failed to decide on it; a client that disconnected gets no answer.
 """
 
 from __future__ import annotations
 
 from gradegap.balancing.actions import Fail, Migrate, Reject
-from gradegap.balancing.events import AttemptResult, ClientDisconnected
+from gradegap.balancing.events import (
+    AttemptEnded,
+    AttemptResult,
+    ClientDisconnected,
+    Event,
+    RequestArrived,
+)
 from gradegap.proxy.attempts import Attempts
 from gradegap.proxy.context import ProxyContext
 from gradegap.proxy.inherited import InheritedConnections
@@ -82,9 +88,24 @@
             self.attempts.time_out(request.attempt)
         if request.pending:
             self.context.metrics.count("overdue")
-            self.requests.fail(request)
-            self._feed_disconnect(request)
-            self.requests.drop(request)
+            self._fail_undecided(request)
+
+    def on_decision_failed(self, event: Event) -> None:
+        """Fail the request of an event that the balancer failed to handle, unless an attempt is in progress.
+
+        Guards against a client that waits until its deadline for a decision that will not come.
+        """
+        if not isinstance(event, RequestArrived | AttemptEnded):
+            return
+        request = self.requests.by_id.get(event.request_id)
+        if request is not None and request.pending and request.attempt is None:
+            self._fail_undecided(request)
+
+    def _fail_undecided(self, request: Request) -> None:
+        """Fail a request that the balancer has not answered, and end it for the balancer too."""
+        self.requests.fail(request)
+        self._feed_disconnect(request)
+        self.requests.drop(request)
 
     def _feed_disconnect(self, request: Request) -> None:
         """Tell the balancer of a disconnect, except for inherited requests, which it does not know."""
--- a/gradegap/proxy/proxy.py
+++ b/gradegap/proxy/proxy.py
@@ -71,6 +71,7 @@
         self._adoption = Adoption(context, self._endpoints, self._requests)
         self._draining = Draining(context)
         self._endpoints.on_drain_notified = self._attempts.cancel_connecting
+        context.on_decision_failed = self._lifecycle.on_decision_failed
         self._attempts.on_inherited_ended = self._inherited.on_attempt_ended
         self._handlers = RequestHandlers(
             now=context.now,
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -11,6 +11,8 @@
 import pytest
 import uvloop
 
+from gradegap.balancing.actions import Action
+from gradegap.balancing.events import Event
 from gradegap.downstream.interfaces import LINGER_S, CloseReason
 from gradegap.downstream.tcp_channel import LINGER_MAX_S, TcpChannel
 from gradegap.metrics import Metrics
@@ -212,3 +214,23 @@
         assert not listener.proxy.requests
 
     run_in_loop(test)
+
+
+def test_client_whose_decision_raises_gets_its_answer() -> None:
+    # Guards against a connection that the event loop closes without an answer, because an exception of the
+    # balancer reached it through the channel.
+    class FailingBalancer:
+        def handle(self, now: float, event: Event) -> list[Action]:
+            raise KeyError("s-a")
+
+    async def test(listener: Listener) -> None:
+        listener.proxy.balancer = FailingBalancer()  # type: ignore[assignment]
+        sock, _ = await listener.client()
+        sock.send(FIRST_LINE)
+        assert await read_to_end(sock) == b"ERR\r\n"
+        assert not was_reset(sock)
+        other_sock, _ = await listener.client()
+        other_sock.send(b"PING\r\n" + FIRST_LINE)
+        assert await read_to_end(other_sock) == b"PONG\r\nERR\r\n"
+
+    run_in_loop(test)
--- a/tests/test_proxy_requests.py
+++ b/tests/test_proxy_requests.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NoReturn
+
 import pytest
 
 from gradegap.balancing.actions import Forward, Reject
@@ -9,6 +11,11 @@
     AttemptEnded,
     AttemptResult,
     ClientDisconnected,
+    ConnectionEstablished,
+    EndpointList,
+    EndpointPhase,
+    Event,
+    RequestArrived,
     TimerFired,
 )
 from gradegap.proxy.request import RequestState, RequestStateError
@@ -88,3 +95,48 @@
     assert request.state is RequestState.ENDED
     with pytest.raises(RequestStateError, match="invalid transition from ended to established"):
         request.transition(RequestState.ESTABLISHED)
+
+
+def raise_in_decision(event: Event) -> NoReturn:
+    raise KeyError("s-a")
+
+
+@pytest.mark.parametrize("event_type", [RequestArrived, AttemptEnded])
+def test_request_whose_decision_raises_fails_at_once(event_type: type) -> None:
+    # Guards against a client that is closed without an answer, or waits for its deadline, because the
+    # balancer raised an exception while it decided on the client's request.
+    harness = ProxyHarness()
+    decide = harness.balancer.answers[RequestArrived]
+    harness.balancer.answers[event_type] = raise_in_decision
+    session, request = harness.open_request()
+    if event_type is AttemptEnded:
+        harness.upstream.connections[0].attempt.on_ended(AttemptResult.RESET)
+    assert session.calls == [("fail", harness.loop.now)] and not harness.proxy.requests
+    assert harness.balancer.events[-1] == ClientDisconnected(request.id)
+    assert harness.proxy.metrics.counts["decisions_failed"] == 1
+    harness.loop.run(3.0)
+    assert session.call_names == ["fail"]
+    harness.balancer.answers = {RequestArrived: decide}
+    assert harness.establish()[0].call_names == ["up"]
+
+
+def test_decision_that_raises_leaves_the_attempt_of_its_request_alone() -> None:
+    # Guards against a second answer: the endpoint has confirmed the connection, and the client has its line.
+    harness = ProxyHarness()
+    harness.balancer.answers[ConnectionEstablished] = raise_in_decision
+    session, request, connection = harness.establish()
+    assert session.call_names == ["up"] and request.established
+    connection.attempt.on_ended(AttemptResult.OK)
+    assert session.call_names == ["up", "end"] and not harness.proxy.requests
+
+
+def test_decision_on_the_endpoint_list_that_raises_does_not_stop_the_drain() -> None:
+    # Guards against a list that is not applied to the end: a draining endpoint must get no new connection.
+    harness = ProxyHarness()
+    session, _ = harness.open_request()
+    harness.balancer.answers[EndpointList] = raise_in_decision
+    harness.list_endpoint("a", phase=EndpointPhase.DRAINING)
+    assert harness.upstream.connections[0].cancelled and harness.proxy.endpoints["a"].draining
+    harness.loop.run(3.0)
+    assert session.call_names == ["fail"]
+    assert harness.proxy.metrics.counts["decisions_failed"] == 1
