A connection that comes after a drain's last round is migrated too

Callers would see a client that is never told MOVE before its server leaves: its request was out when the drain began, and the server confirmed it after all other connections of the node there had been migrated or had ended.

Cause: the rounds of an endpoint's drain end with its last connection, as no timer is set then, and `drain_endpoint` does nothing for an endpoint whose drain has begun. A connection that was established later found no timer. It concerns draining endpoints as well as removed ones.

Change: `connection_added` starts the rounds again for the first connection after the last round, not before the time at which the drain's first round was due. Both start times come from one place.

--- a/gradegap/balancing/draining.py
+++ b/gradegap/balancing/draining.py
@@ -81,15 +81,35 @@
         if endpoint.draining_since > 0.0:
             return
         endpoint.draining_since = self.context.now
-        start_after = DRAIN_START_SHARE * self.learned_drain_time
-        end_after = DRAIN_END_SHARE * self.learned_drain_time
-        if endpoint.stops_within:
-            start_after = ANNOUNCED_DRAIN_START_SHARE * endpoint.stops_within
-            end_after = ANNOUNCED_DRAIN_END_SHARE * endpoint.stops_within
-        if endpoint.phase is EndpointPhase.REMOVED:
-            start_after, end_after = 0.0, REMOVED_DRAIN_S
+        start_after, end_after = self._window(endpoint)
         endpoint.drained_by = self.context.now + end_after
-        delay = start_after + DRAIN_ROUND_S * self.context.random()
+        self._schedule_round(endpoint, start_after)
+
+    def connection_added(self, endpoint: Endpoint) -> None:
+        """Schedules the migration of a connection that was added to a draining or removed endpoint.
+
+        The rounds end with the endpoint's last connection, so the first one that follows starts them again.
+        """
+        if endpoint.draining_since > 0.0 and len(endpoint.connections) == 1:
+            start_after, _ = self._window(endpoint)
+            self._schedule_round(endpoint, max(0.0, endpoint.draining_since + start_after - self.context.now))
+        else:
+            self.drain_endpoint(endpoint)
+
+    def _window(self, endpoint: Endpoint) -> tuple[float, float]:
+        """Returns the seconds from the start of a drain to the first and to the last migration."""
+        if endpoint.phase is EndpointPhase.REMOVED:
+            return 0.0, REMOVED_DRAIN_S
+        if endpoint.stops_within:
+            return (
+                ANNOUNCED_DRAIN_START_SHARE * endpoint.stops_within,
+                ANNOUNCED_DRAIN_END_SHARE * endpoint.stops_within,
+            )
+        return DRAIN_START_SHARE * self.learned_drain_time, DRAIN_END_SHARE * self.learned_drain_time
+
+    def _schedule_round(self, endpoint: Endpoint, after: float) -> None:
+        """Sets the timer of a round in `after` seconds or up to `DRAIN_ROUND_S` later, at random."""
+        delay = after + DRAIN_ROUND_S * self.context.random()
         self.context.actions.append(SetTimer(delay, endpoint_drain_token(endpoint.name)))
 
     def connection_broke(self, endpoint: Endpoint) -> None:
--- a/gradegap/balancing/request_lifecycle.py
+++ b/gradegap/balancing/request_lifecycle.py
@@ -95,7 +95,7 @@
         request.endpoint = endpoint
         self.table.hold(endpoint, request)
         if endpoint.phase is EndpointPhase.DRAINING:
-            self.draining.drain_endpoint(endpoint)
+            self.draining.connection_added(endpoint)
         self.table.requests[request.id] = request
         self.growth.add_inherited()
         self.health_checks.start_schedule()
@@ -110,7 +110,7 @@
         self.outliers.connection_established(endpoint)
         self.table.hold(endpoint, request)
         if endpoint.phase is not EndpointPhase.READY:  # it started to drain during the attempt
-            self.draining.drain_endpoint(endpoint)
+            self.draining.connection_added(endpoint)
         self.rates.established.add(self.context.now)
         if request.is_reconnect and not self.migration.consume_expected_return():
             self.growth.add_known()
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -17,7 +17,7 @@
     ProxyResumed,
     TimerFired,
 )
-from tests.support.balancer_driver import BalancerDriver
+from tests.support.balancer_driver import BalancerDriver, forward_actions
 from tests.test_faults import establish_on_s0
 
 
@@ -115,3 +115,18 @@
     rounds = migrations_until(driver, driver.feed(ProxyDraining(deadline_at)), "leave", deadline_at + 0.2)
     assert sum(count for _, count in rounds) == 20
     assert max(count for _, count in rounds) <= 4
+
+
+@pytest.mark.parametrize("phase", [EndpointPhase.DRAINING, EndpointPhase.REMOVED])
+def test_connection_established_after_the_last_round_of_a_drain_is_migrated(phase: EndpointPhase) -> None:
+    # Guards against a client that is never told MOVE: the rounds had ended with the last connection before.
+    driver = BalancerDriver(servers=2)
+    establish_on_s0(driver, 1)
+    (late,) = forward_actions(
+        driver.answer_health_checks(driver.request(after=1.0), lambda name: 0.1 if name == "s0" else 0.4)
+    )
+    assert late.endpoint == "s0"
+    assert sum(count for _, count in migrations_until(driver, set_phase(driver, phase), "es0", 1e9)) == 1
+    actions = driver.establish(late)
+    rounds = migrations_until(driver, actions, "es0", driver.now + 2 * draining.DRAIN_ROUND_S)
+    assert sum(count for _, count in rounds) == 1
