--- a/tests/support/balancer_driver.py
+++ b/tests/support/balancer_driver.py
@@ -1,15 +1,16 @@
-"""Drives one balancer with a simulated clock, with short methods for the usual events."""
+"""Drives one balancer with a simulated clock, with short methods for the usual events and their sequences."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from gradegap.balancing.actions import Action, CheckHealth, Fail, Forward, Reject
+from gradegap.balancing.actions import Action, CheckHealth, Fail, Forward, Migrate, Reject, SetTimer
 from gradegap.balancing.balancer import Balancer
 from gradegap.balancing.events import (
     AttemptEnded,
     AttemptResult,
     ConnectionEstablished,
+    ConnectionInherited,
     EndpointEntry,
     EndpointList,
     EndpointListKind,
@@ -17,6 +18,7 @@
     Event,
     HealthCheckEnded,
     RequestArrived,
+    TimerFired,
 )
 from gradegap.balancing.settings import ClassSettings, ReportSource, Settings
 
@@ -106,3 +108,37 @@
 
 def terminal_actions(actions: list[Action]) -> list[Action]:
     return [a for a in actions if isinstance(a, Reject | Fail)]
+
+
+def establish_on_s0(driver: BalancerDriver, count: int) -> None:
+    for _ in range(count):
+        (forward,) = forward_actions(
+            driver.answer_health_checks(driver.request(after=1.0), lambda name: 0.1 if name == "s0" else 0.4)
+        )
+        driver.establish(forward)
+
+
+def inherit_connections(driver: BalancerDriver, server: str, group_name: str, count: int) -> None:
+    for _ in range(count):
+        driver.next_id += 1
+        driver.feed(
+            ConnectionInherited(
+                RequestArrived(driver.next_id, "live", driver.now + 2.0, group=group_name), server
+            )
+        )
+
+
+def migrations_until(
+    driver: BalancerDriver, first_actions: list[Action], token: str, end_at: float
+) -> list[tuple[float, int]]:
+    """Runs the timer with this token until `end_at`; returns the time and the migrations of each round."""
+    rounds = [(driver.now, sum(isinstance(action, Migrate) for action in first_actions))]
+    actions = first_actions
+    while timers := [action for action in actions if isinstance(action, SetTimer) and action.token == token]:
+        if driver.now + timers[0].delay > end_at:
+            break
+        actions = driver.feed(TimerFired(token), after=timers[0].delay)
+        for migrate in [action for action in actions if isinstance(action, Migrate)]:
+            driver.feed(AttemptEnded(migrate.request_id, 0, "s0", AttemptResult.CANCELLED, 1.0, True))
+        rounds.append((driver.now, sum(isinstance(action, Migrate) for action in actions)))
+    return rounds
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -5,7 +5,7 @@
 import pytest
 
 from gradegap.balancing import draining
-from gradegap.balancing.actions import Action, Migrate, SetTimer
+from gradegap.balancing.actions import Action
 from gradegap.balancing.events import (
     AttemptEnded,
     AttemptResult,
@@ -15,26 +15,13 @@
     EndpointPhase,
     ProxyDraining,
     ProxyResumed,
-    TimerFired,
 )
-from tests.support.balancer_driver import BalancerDriver, forward_actions
-from tests.test_faults import establish_on_s0
-
-
-def migrations_until(
-    driver: BalancerDriver, first_actions: list[Action], token: str, end_at: float
-) -> list[tuple[float, int]]:
-    """Runs the timer with this token until `end_at`; returns the time and the migrations of each round."""
-    rounds = [(driver.now, sum(isinstance(action, Migrate) for action in first_actions))]
-    actions = first_actions
-    while timers := [action for action in actions if isinstance(action, SetTimer) and action.token == token]:
-        if driver.now + timers[0].delay > end_at:
-            break
-        actions = driver.feed(TimerFired(token), after=timers[0].delay)
-        for migrate in [action for action in actions if isinstance(action, Migrate)]:
-            driver.feed(AttemptEnded(migrate.request_id, 0, "s0", AttemptResult.CANCELLED, 1.0, True))
-        rounds.append((driver.now, sum(isinstance(action, Migrate) for action in actions)))
-    return rounds
+from tests.support.balancer_driver import (
+    BalancerDriver,
+    establish_on_s0,
+    forward_actions,
+    migrations_until,
+)
 
 
 def set_phase(driver: BalancerDriver, phase: EndpointPhase) -> list[Action]:
--- a/tests/test_endpoint_registry.py
+++ b/tests/test_endpoint_registry.py
@@ -19,8 +19,7 @@
     HealthCheckEnded,
     TimerFired,
 )
-from tests.support.balancer_driver import BalancerDriver, forward_actions
-from tests.test_draining import migrations_until
+from tests.support.balancer_driver import BalancerDriver, forward_actions, migrations_until
 
 GROUP = "g1"
 RESTARTED_AT = 105.0
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -23,7 +23,14 @@
 )
 from gradegap.balancing.model import Request
 from gradegap.balancing.settings import ClassSettings, ReportSource, Settings, WeightMeaning
-from tests.support.balancer_driver import CLASS, BalancerDriver, forward_actions, terminal_actions
+from tests.support.balancer_driver import (
+    CLASS,
+    BalancerDriver,
+    establish_on_s0,
+    forward_actions,
+    inherit_connections,
+    terminal_actions,
+)
 
 
 def test_request_to_a_full_fleet_is_rejected_with_retry_advice() -> None:
@@ -135,24 +142,6 @@
         assert driver.balancer.growth.factor() < 1.5
 
 
-def establish_on_s0(driver: BalancerDriver, count: int) -> None:
-    for _ in range(count):
-        (forward,) = forward_actions(
-            driver.answer_health_checks(driver.request(after=1.0), lambda name: 0.1 if name == "s0" else 0.4)
-        )
-        driver.establish(forward)
-
-
-def inherit_connections(driver: BalancerDriver, server: str, group_name: str, count: int) -> None:
-    for _ in range(count):
-        driver.next_id += 1
-        driver.feed(
-            ConnectionInherited(
-                RequestArrived(driver.next_id, "live", driver.now + 2.0, group=group_name), server
-            )
-        )
-
-
 @pytest.mark.parametrize("seed", range(8))
 def test_group_stays_on_its_endpoint_unless_that_is_much_more_loaded(seed: int) -> None:
     """Guards against spreading a group by load alone: each endpoint that has a part of it pays its setup."""
--- a/tests/test_priority.py
+++ b/tests/test_priority.py
@@ -18,8 +18,7 @@
 from gradegap.balancing.report_statistics import ReportStatistics
 from gradegap.balancing.settings import ClassSettings, TenantSettings
 from gradegap.downstream.framing import parse_opening
-from tests.support.balancer_driver import BalancerDriver, forward_actions, settings
-from tests.test_faults import inherit_connections
+from tests.support.balancer_driver import BalancerDriver, forward_actions, inherit_connections, settings
 
 FEED = ClassSettings("feed", latency_objective=0.5, time_limit=3.0, priority_weight=3.0)
 EDIT = ClassSettings("edit", latency_objective=0.5, time_limit=2.0, priority_weight=5.0)
