--- a/review/stand2.py
+++ b/review/stand2.py
@@ -23,6 +23,8 @@
     wait_for,
 )
 
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 RUN_LIMIT_S = 112
 """Longest run of a case; one that takes longer could not run."""
 
@@ -31,6 +33,10 @@
     """The rule of the case was broken; the text says how."""
 
 
+class RunEndedError(BaseException):
+    """The run was told to end, or took too long; no `Exception`, so that no loop of a case handles it."""
+
+
 class Case:
     """One run of a case: its temporary folder, its record, and the processes that it started."""
 
@@ -143,9 +149,14 @@
             time.sleep(0.2)
 
     def close(self) -> None:
-        """End all processes that this run started."""
-        for process in [node.process for node in self.nodes] + self.processes:
+        """End all processes that this run started; a second signal can't keep it from that."""
+        signal.alarm(0)
+        for number in END_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+        processes = [node.process for node in self.nodes] + self.processes
+        for process in processes:
             process.kill()
+        for process in processes:
             process.wait()
         for node in self.nodes:
             node.discovery.server.shutdown()
@@ -163,13 +174,14 @@
     return table + (f"peers = [{others}]\n" if others else "") + more
 
 
-def _time_out(number: int, frame: FrameType | None) -> None:
-    raise TimeoutError(f"the case took over {RUN_LIMIT_S} s")
+def _end(number: int, frame: FrameType | None) -> None:
+    raise RunEndedError(f"ended by {signal.Signals(number).name}; the limit of a run is {RUN_LIMIT_S} s")
 
 
 def run(folder: Path, body: Callable[[Case], None]) -> int:
     """Run a case; returns 0 if the rule held, 1 if it was broken, 2 if the case couldn't run."""
-    signal.signal(signal.SIGALRM, _time_out)
+    for number in (signal.SIGALRM, *END_SIGNALS):
+        signal.signal(number, _end)
     signal.alarm(RUN_LIMIT_S)
     with tempfile.TemporaryDirectory(prefix="gg", ignore_cleanup_errors=True) as temporary:
         case = Case(folder, Path(temporary))
@@ -180,7 +192,10 @@
         except RuleBrokenError as error:
             case.record(f"RULE BROKEN: {error}")
             status = 1
-        except Exception as error:  # whatever else goes wrong, the case says nothing about the rule
+        except (
+            Exception,
+            RunEndedError,
+        ) as error:  # whatever else goes wrong, the case says nothing about the rule
             case.record(f"could not run: {type(error).__name__}: {error}")
             status = 2
         finally:
